Lay out the package, its values, ports and protocols

Cause: the parts of the scheduler are to be built side by side, so the values and ports that they share come first. Ruled out: classes for adapters, since the house style asks for functions; ports are attrs values of typed callables. Conclusion: the boundaries stand; no request is served yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+PROTOS = $(wildcard wigeonfall/adapters/proto/*.proto)
+
+.PHONY: setup test demo format lint types check binary proto
+
+$(VENV)/.installed: requirements.txt requirements-dev.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet -r requirements-dev.txt
+	touch $@
+
+setup: $(VENV)/.installed
+
+test: setup
+	$(BIN)/python -m pytest $(PYTEST_ARGS)
+
+demo: setup
+	$(BIN)/python -m tests.fakes.demo
+
+format: setup
+	$(BIN)/ruff format .
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/flake8 wigeonfall tests bench
+
+types: setup
+	$(BIN)/mypy
+
+check: lint types test
+
+proto: setup
+	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --mypy_out=. \
+		--grpclib_python_out=. \
+		--plugin=protoc-gen-grpclib_python=$(BIN)/protoc-gen-grpclib_python \
+		--plugin=protoc-gen-mypy=$(BIN)/protoc-gen-mypy $(PROTOS)
--- /dev/null
+++ b/wigeonfall/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the ports over the network."""
--- /dev/null
+++ b/wigeonfall/events.py
@@ -0,0 +1,40 @@
+"""The catalogue of numbered events.
+
+Hundreds stand for a matter: 1 process, 2 requests, 3 orders, 4 admission and
+limits, 5 configuration and membership, 6 rollouts and leases, 7 platform and
+peers. docs/EVENTS.md describes each one.
+"""
+
+import enum
+import logging
+
+
+class Event(enum.Enum):
+    """A kind of event: its number, its level and its message."""
+
+    PROCESS_STARTED = (101, logging.INFO, 'process started')
+    PROCESS_READY = (102, logging.INFO, 'process ready')
+    STOP_BEGUN = (103, logging.INFO, 'planned stop begun')
+    STOP_FINISHED = (104, logging.INFO, 'planned stop finished')
+
+    REQUEST_ANSWERED = (201, logging.INFO, 'request answered')
+    REQUEST_REFUSED = (202, logging.INFO, 'request refused')
+    ATTEMPT_STARTED = (203, logging.DEBUG, 'attempt started')
+    ATTEMPT_FAILED = (204, logging.WARNING, 'attempt failed')
+    ANSWER_DISCARDED = (205, logging.WARNING, 'answer of another attempt')
+
+    ORDER_CLAIMED = (301, logging.INFO, 'order claimed')
+
+    REQUEST_QUEUED = (401, logging.DEBUG, 'request queued')
+
+    CONFIGURATION_IN_FORCE = (501, logging.INFO, 'configuration in force')
+
+    ROLLOUT_MOVED = (601, logging.INFO, 'rollout moved')
+
+    PLATFORM_UNREACHABLE = (701, logging.WARNING, 'platform unreachable')
+    PLATFORM_REACHABLE = (702, logging.INFO, 'platform reachable')
+
+    def __init__(self, number: int, level: int, message: str) -> None:
+        self.number = number
+        self.level = level
+        self.message = message
--- /dev/null
+++ b/wigeonfall/model/__init__.py
@@ -0,0 +1,1 @@
+"""Values that every layer shares."""
--- /dev/null
+++ b/wigeonfall/ports/__init__.py
@@ -0,0 +1,1 @@
+"""What serving needs from outside, as typed callables."""
