Serve calls over HTTP through one entry instance

Cause: there was no path from a caller to a target. Change: adapters for callers, targets, platform, peers and operators; the path of a call with retries, whole answers and spliced streams; the exchange of topics; the serve command. Admission is local to the instance for now. Ruled out: urllib3's pool for attempts, since it hides whether a failure came before or after the first byte was sent.

--- /dev/null
+++ b/wigeonfall/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as a module."""
+
+from .cli import main
+
+main()
--- a/wigeonfall/events.py
+++ b/wigeonfall/events.py
@@ -33,6 +33,9 @@
 
     PLATFORM_UNREACHABLE = (701, logging.WARNING, 'platform unreachable')
     PLATFORM_REACHABLE = (702, logging.INFO, 'platform reachable')
+    PEER_UNREACHABLE = (703, logging.WARNING, 'peer unreachable')
+    PEER_REACHABLE = (704, logging.INFO, 'peer reachable')
+    TOPIC_UNREADABLE = (705, logging.WARNING, 'state of a topic unreadable')
 
     def __init__(self, number: int, level: int, message: str) -> None:
         self.number = number
--- a/wigeonfall/model/configuration.py
+++ b/wigeonfall/model/configuration.py
@@ -1,5 +1,7 @@
 """The configuration that operators apply to the whole fleet."""
 
+import functools
+
 import attrs
 
 from .customer import Customer
@@ -24,19 +26,38 @@
     customers: tuple[Customer, ...]
     services: tuple[Service, ...]
 
+    @functools.cached_property
+    def _tiers_by_name(self) -> dict[str, Tier]:
+        return {tier.name: tier for tier in self.tiers}
+
+    @functools.cached_property
+    def _customers_by_key(self) -> dict[str, Customer]:
+        return {item.key_sha256: item for item in self.customers}
+
+    @functools.cached_property
+    def _services_by_name(self) -> dict[str, Service]:
+        return {service.name: service for service in self.services}
+
+    @functools.cached_property
+    def _services_by_model(self) -> dict[str, Service]:
+        return {
+            model: service
+            for service in self.services
+            for model in service.models
+        }
+
     def tier(self, name: str) -> Tier | None:
         """Return the tier of this name, or None."""
-        return next((t for t in self.tiers if t.name == name), None)
+        return self._tiers_by_name.get(name)
 
     def customer_by_key(self, key_sha256: str) -> Customer | None:
         """Return the customer whose key has this digest, or None."""
-        matches = (c for c in self.customers if c.key_sha256 == key_sha256)
-        return next(matches, None)
+        return self._customers_by_key.get(key_sha256)
 
     def service(self, name: str) -> Service | None:
         """Return the service of this name, or None."""
-        return next((s for s in self.services if s.name == name), None)
+        return self._services_by_name.get(name)
 
     def service_for_model(self, model: str) -> Service | None:
         """Return the service that serves a model, or None."""
-        return next((s for s in self.services if model in s.models), None)
+        return self._services_by_model.get(model)
--- a/wigeonfall/model/request.py
+++ b/wigeonfall/model/request.py
@@ -31,6 +31,7 @@
         answer_tokens: most tokens to generate.
         prefix_hashes: hashes of the leading blocks of the prompt.
         route: name of the route, under which evidence on versions is kept.
+        version: version that the target must serve, or '' for any.
     """
 
     id: str
@@ -50,6 +51,7 @@
     answer_tokens: int = 0
     prefix_hashes: tuple[int, ...] = ()
     route: str = ''
+    version: str = ''
 
     @property
     def idempotent(self) -> bool:
--- a/wigeonfall/ports/targets.py
+++ b/wigeonfall/ports/targets.py
@@ -19,6 +19,7 @@
     SILENT = 'silent'
     BROKEN = 'broken'
     CROSSED = 'crossed'
+    REVOKED = 'revoked'
 
 
 @attrs.frozen
--- /dev/null
+++ b/wigeonfall/serving/attempts.py
@@ -0,0 +1,275 @@
+"""Tries of a request at targets, with their retries."""
+
+from collections.abc import Callable
+import time
+import uuid
+
+import attrs
+from result import Err
+from result import Ok
+from result import Result
+
+from ..events import Event
+from ..model.refusal import Code
+from ..model.refusal import not_run
+from ..model.refusal import Refusal
+from ..model.refusal import unknown
+from ..model.request import Request
+from ..model.target import Target
+from ..ports import targets as targets_port
+from ..ports.targets import AttemptError
+from ..ports.targets import AttemptErrorKind
+from ..ports.targets import AttemptFailed
+from ..ports.targets import TargetAnswer
+from ..recorder import Record
+from .local_admission import Grant
+
+Acquire = Callable[[Request, frozenset[str], float], Result[Grant, Refusal]]
+
+
+@attrs.frozen
+class Outcome:
+    """How an attempt ended, as evidence on the target and its version.
+
+    Attributes:
+        target: the target that was tried.
+        route: route of the request.
+        ok: whether the answer was whole and not a server error.
+        first_byte_s: time to the first byte, or None if none came.
+        total_s: time to the end.
+    """
+
+    target: Target
+    route: str
+    ok: bool
+    first_byte_s: float | None
+    total_s: float
+
+
+@attrs.frozen
+class Attempts:
+    """What tries need from the rest of the process.
+
+    Attributes:
+        targets: calls to targets.
+        acquire: waits for a grant.
+        may_retry: whether the budget allows a retry of a request now.
+        succeeded: feeds the budget after a success.
+        leaving: takes note that a target takes no new work.
+        observe: takes evidence on a target.
+        record: records events.
+    """
+
+    targets: targets_port.Targets
+    acquire: Acquire
+    may_retry: Callable[[Request, float], bool]
+    succeeded: Callable[[Request, float], None]
+    leaving: Callable[[Target, float], None]
+    observe: Callable[[Outcome, float], None]
+    record: Record
+
+
+@attrs.define
+class Try:
+    """An attempt whose answer has begun.
+
+    Attributes:
+        id: identifier of the attempt.
+        grant: the grant that it runs under.
+        answer: the answer of the target.
+        began_s: when it was sent, on the monotonic clock.
+        first_byte_s: time to the head of the answer.
+    """
+
+    id: str
+    grant: Grant
+    answer: TargetAnswer
+    began_s: float
+    first_byte_s: float
+
+
+@attrs.frozen
+class FailedTry:
+    """An attempt that gave no answer.
+
+    Attributes:
+        target: the target that was tried.
+        error: how far it came.
+    """
+
+    target: Target
+    error: AttemptError
+
+
+def begin(
+    attempts: Attempts,
+    request: Request,
+    grant: Grant,
+    resume_offset: int = 0,
+    fresh_connection: bool = False,
+) -> Result[Try, FailedTry]:
+    """Send a request to the target of a grant and wait for the head.
+
+    The grant is released if the attempt fails.
+
+    Args:
+        attempts: what tries need.
+        request: the request.
+        grant: leave to send it.
+        resume_offset: events that the caller already has.
+        fresh_connection: whether pooled connections are ruled out.
+
+    Returns:
+        The begun try, or how it failed.
+    """
+    began_s = time.monotonic()
+    attempt = _attempt(
+        request, grant.target, resume_offset, fresh_connection, began_s
+    )
+    attempts.record(
+        Event.ATTEMPT_STARTED,
+        request_id=request.id,
+        attempt_id=attempt.id,
+        target=grant.target.name,
+    )
+    opened = attempts.targets.open(attempt)
+    if isinstance(opened, Err):
+        grant.release()
+        failed = FailedTry(grant.target, opened.err_value)
+        note_failure(attempts, request, attempt.id, failed, began_s)
+        return Err(failed)
+    first_byte_s = time.monotonic() - began_s
+    return Ok(Try(attempt.id, grant, opened.ok_value, began_s, first_byte_s))
+
+
+def _attempt(
+    request: Request,
+    target: Target,
+    resume_offset: int,
+    fresh_connection: bool,
+    now_s: float,
+) -> targets_port.Attempt:
+    service = request.service
+    left_s = max(0.001, request.deadline_s - now_s)
+    return targets_port.Attempt(
+        id=uuid.uuid4().hex,
+        request_id=request.id,
+        target=target,
+        method=request.method,
+        path=request.path,
+        headers=request.headers,
+        body=request.body,
+        resume_offset=resume_offset,
+        fresh_connection=fresh_connection,
+        connect_timeout_s=min(service.connect_timeout_s, left_s),
+        first_byte_timeout_s=min(service.first_byte_timeout_s, left_s),
+        between_bytes_timeout_s=min(service.between_bytes_timeout_s, left_s),
+    )
+
+
+def end(attempts: Attempts, request: Request, begun: Try, ok: bool) -> None:
+    """Close a try, give its room back and keep the evidence.
+
+    Args:
+        attempts: what tries need.
+        request: the request.
+        begun: the try.
+        ok: whether the answer was whole and not a server error.
+    """
+    begun.answer.close()
+    begun.grant.release()
+    now_s = time.monotonic()
+    outcome = Outcome(
+        begun.grant.target,
+        request.route,
+        ok,
+        begun.first_byte_s,
+        now_s - begun.began_s,
+    )
+    attempts.observe(outcome, now_s)
+    if ok:
+        attempts.succeeded(request, now_s)
+
+
+def abandon(begun: Try) -> None:
+    """Cancel a try without judging its target."""
+    begun.answer.close()
+    begun.grant.release()
+
+
+def note_failure(
+    attempts: Attempts,
+    request: Request,
+    attempt_id: str,
+    failed: FailedTry,
+    began_s: float,
+) -> None:
+    """Record a failed attempt and draw what it says of the target."""
+    now_s = time.monotonic()
+    target = failed.target
+    error = failed.error
+    attempts.record(
+        Event.ATTEMPT_FAILED,
+        request_id=request.id,
+        attempt_id=attempt_id,
+        target=target.name,
+        kind=error.kind.value,
+        detail=error.message,
+        ran=error.ran,
+    )
+    if error.kind is AttemptErrorKind.LEAVING:
+        attempts.leaving(target, now_s)
+        return
+    if error.kind in (AttemptErrorKind.SILENT, AttemptErrorKind.BROKEN):
+        attempts.targets.forget(target.address)
+    if error.ran or error.kind is AttemptErrorKind.NOT_SENT:
+        outcome = Outcome(target, request.route, False, None, now_s - began_s)
+        attempts.observe(outcome, now_s)
+
+
+def read_whole(begun: Try, deadline_s: float) -> bytes:
+    """Return the whole body of an answer.
+
+    Raises:
+        AttemptFailed: the answer broke off or the deadline passed.
+    """
+    parts = []
+    while chunk := begun.answer.read():
+        parts.append(chunk)
+        if time.monotonic() > deadline_s:
+            raise AttemptFailed(
+                AttemptError(AttemptErrorKind.SILENT, 'deadline passed')
+            )
+    return b''.join(parts)
+
+
+def may_try_again(
+    attempts: Attempts, request: Request, error: AttemptError, now_s: float
+) -> bool:
+    """Return whether a failed attempt may be followed by another.
+
+    Args:
+        attempts: what tries need.
+        request: the request.
+        error: how the attempt failed.
+        now_s: present time on the monotonic clock.
+
+    Returns:
+        False when the deadline or the retry budget is spent, or when the
+        request may have run and must not run twice.
+    """
+    if now_s >= request.deadline_s:
+        return False
+    if error.ran and not request.idempotent:
+        return False
+    return attempts.may_retry(request, now_s)
+
+
+def failure_refusal(request: Request, error: AttemptError) -> Refusal:
+    """Return the refusal that tells a caller of a last failed attempt."""
+    message = f'the last attempt failed: {error.kind.value}'
+    if not error.ran:
+        return not_run(Code.ATTEMPT_FAILED, message, 1.0)
+    if request.idempotent:
+        return unknown(Code.ATTEMPT_FAILED, message)
+    return unknown(Code.OUTCOME_UNKNOWN, message)
--- /dev/null
+++ b/wigeonfall/serving/exchange.py
@@ -0,0 +1,138 @@
+"""The loop that exchanges topics with peers, one task for each peer."""
+
+import asyncio
+from collections.abc import Callable
+import ssl
+import time
+
+import attrs
+
+from .. import clock
+from ..adapters import peers as peers_adapter
+from ..adapters.proto import exchange_pb2
+from ..events import Event
+from ..model.instance import Instance
+from ..ports.peers import Topic
+from ..recorder import Recorder
+
+PERIOD_S = 0.5
+
+PeerAddresses = Callable[[float], tuple[str, ...]]
+
+
+@attrs.define
+class Exchange:
+    """The topics of one instance and the peers that it swaps them with.
+
+    Attributes:
+        own: this instance.
+        recorder: records events and holds the clock.
+        topics: topics by name.
+        seen: called with each sender of a state and the present time in
+            seconds since the epoch.
+    """
+
+    own: Instance
+    recorder: Recorder
+    topics: tuple[Topic, ...] = ()
+    seen: Callable[[Instance, float], None] = lambda _peer, _now_s: None
+
+    def state(self, now_unix_s: float) -> exchange_pb2.State:
+        """Return the message that carries our topics."""
+        stamp = self.recorder.clock.tick(now_unix_s)
+        payloads = {
+            topic.name: topic.snapshot(now_unix_s) for topic in self.topics
+        }
+        return peers_adapter.encode_state(self.own, stamp, payloads)
+
+    def merge(self, state: exchange_pb2.State, now_unix_s: float) -> None:
+        """Merge the topics that a peer sent."""
+        stamp = clock.Stamp(state.clock_ms, state.clock_counter)
+        self.recorder.clock.see(stamp, now_unix_s)
+        self.seen(peers_adapter.sender_of(state), now_unix_s)
+        payloads = {item.name: item.payload for item in state.topics}
+        for topic in self.topics:
+            payload = payloads.get(topic.name)
+            if payload is None:
+                continue
+            self._merge_topic(topic, payload, state.instance, now_unix_s)
+
+    def _merge_topic(
+        self, topic: Topic, payload: bytes, sender: str, now_unix_s: float
+    ) -> None:
+        try:
+            topic.merge(payload, sender, now_unix_s)
+        except ValueError as error:
+            self.recorder.record(
+                Event.TOPIC_UNREADABLE,
+                topic=topic.name,
+                peer=sender,
+                detail=str(error),
+            )
+
+    def swap(self, state: exchange_pb2.State) -> exchange_pb2.State:
+        """Merge a peer's state and return our own."""
+        now_unix_s = time.time()
+        self.merge(state, now_unix_s)
+        return self.state(now_unix_s)
+
+
+async def run(
+    exchange: Exchange,
+    addresses: PeerAddresses,
+    context: ssl.SSLContext | None,
+) -> None:
+    """Keep one task for each peer that is wanted, until cancelled.
+
+    Args:
+        exchange: the topics to swap.
+        addresses: returns the addresses of the peers to swap with, given the
+            present time in seconds since the epoch.
+        context: TLS context for connections to peers, or None.
+    """
+    tasks: dict[str, asyncio.Task[None]] = {}
+    try:
+        while True:
+            wanted = set(addresses(time.time()))
+            wanted.discard(exchange.own.peers_address)
+            for address in set(tasks) - wanted:
+                tasks.pop(address).cancel()
+            for address in wanted - set(tasks):
+                work = _run_peer(exchange, address, context)
+                tasks[address] = asyncio.create_task(work)
+            await asyncio.sleep(PERIOD_S)
+    finally:
+        for task in tasks.values():
+            task.cancel()
+
+
+async def _run_peer(
+    exchange: Exchange, address: str, context: ssl.SSLContext | None
+) -> None:
+    channel = peers_adapter.PeerChannel(address, context)
+    reachable = True
+    try:
+        while True:
+            now_reachable = await _swap_once(exchange, channel)
+            if now_reachable != reachable:
+                reachable = now_reachable
+                _record_change(exchange, address, reachable)
+            await asyncio.sleep(PERIOD_S)
+    finally:
+        channel.close()
+
+
+async def _swap_once(
+    exchange: Exchange, channel: peers_adapter.PeerChannel
+) -> bool:
+    try:
+        answer = await channel.swap(exchange.state(time.time()))
+    except peers_adapter.PeerError:
+        return False
+    exchange.merge(answer, time.time())
+    return True
+
+
+def _record_change(exchange: Exchange, address: str, reachable: bool) -> None:
+    event = Event.PEER_REACHABLE if reachable else Event.PEER_UNREACHABLE
+    exchange.recorder.record(event, peer=address)
--- /dev/null
+++ b/wigeonfall/serving/process.py
@@ -0,0 +1,204 @@
+"""One entry instance: its parts, put together, started and stopped."""
+
+import signal
+import threading
+import time
+from typing import Any
+
+import attrs
+import grpclib.server
+import prometheus_client
+from result import Ok
+
+from .. import clock
+from .. import errors
+from .. import recorder as recorder_module
+from .. import settings as settings_module
+from ..adapters import callers
+from ..adapters import event_loop
+from ..adapters import operators
+from ..adapters import peers
+from ..adapters import platform as platform_adapter
+from ..adapters import targets as targets_adapter
+from ..events import Event
+from . import exchange as exchange_module
+from . import handling as handling_module
+from . import live_list
+from . import local_admission
+from ..model.answer import Answer
+from ..model.configuration import Configuration
+from ..model.instance import Instance
+from ..ports.callers import Call
+from .attempts import Attempts
+
+
+class StartError(errors.WigeonfallError):
+    """A process cannot start with its settings."""
+
+
+@attrs.define
+class Process:
+    """The running parts of one entry instance."""
+
+    settings: settings_module.ProcessSettings
+    recorder: recorder_module.Recorder
+    callers_server: callers.CallersServer
+    operators_server: Any
+    exchange: exchange_module.Exchange
+    live: live_list.LiveListReader
+    ready: threading.Event
+    stopping: threading.Event
+
+
+def make_process(
+    settings: settings_module.ProcessSettings,
+    configuration: Configuration,
+) -> Process:
+    """Put the parts of an instance together without starting them.
+
+    Args:
+        settings: settings of the process.
+        configuration: configuration that it starts with.
+    """
+    own = Instance(
+        settings.instance.name,
+        settings.instance.data_center,
+        settings.listen.peers_address,
+        int(time.time() * 1000),
+    )
+    recorder = recorder_module.Recorder(own.name, clock.HybridClock())
+    platform = platform_adapter.make_platform(settings.platform.address)
+    live = live_list.LiveListReader(platform, recorder.record)
+    handling = _make_handling(settings, configuration, recorder, live)
+    ready = threading.Event()
+    return Process(
+        settings=settings,
+        recorder=recorder,
+        callers_server=_make_callers_server(settings, handling),
+        operators_server=_make_operators_server(settings, recorder, ready),
+        exchange=exchange_module.Exchange(own, recorder),
+        live=live,
+        ready=ready,
+        stopping=threading.Event(),
+    )
+
+
+def _make_handling(
+    settings: settings_module.ProcessSettings,
+    configuration: Configuration,
+    recorder: recorder_module.Recorder,
+    live: live_list.LiveListReader,
+) -> handling_module.Handling:
+    admission = local_admission.LocalAdmission(live.live_targets)
+    attempts = Attempts(
+        targets=targets_adapter.make_targets(),
+        acquire=admission.acquire,
+        may_retry=lambda _request, _now_s: True,
+        succeeded=lambda _request, _now_s: None,
+        leaving=live.target_leaving,
+        observe=lambda _outcome, _now_s: None,
+        record=recorder.record,
+    )
+    return handling_module.Handling(
+        configuration=lambda: configuration,
+        attempts=attempts,
+        check_limits=lambda _customer, _now_s: Ok(None),
+        choose_version=lambda request, _now_s: request,
+        run_order=lambda request, dispatch: dispatch(request),
+        record=recorder.record,
+        body_limit_bytes=settings.limits.body_limit_bytes,
+    )
+
+
+def _make_callers_server(
+    settings: settings_module.ProcessSettings,
+    handling: handling_module.Handling,
+) -> callers.CallersServer:
+    def handle(call: Call) -> Answer:
+        return handling_module.handle(handling, call)
+
+    listen = callers.ListenSettings(
+        settings.listen.callers_address,
+        settings.limits.callers_threads,
+        settings.limits.header_limit_bytes,
+        settings.limits.body_limit_bytes,
+    )
+    return callers.CallersServer(listen, handle)
+
+
+def _make_operators_server(
+    settings: settings_module.ProcessSettings,
+    recorder: recorder_module.Recorder,
+    ready: threading.Event,
+) -> Any:
+    def events() -> list[dict[str, Any]]:
+        return [recorder_module.to_json(entry) for entry in recorder.entries()]
+
+    try:
+        key = settings_module.read_secret(
+            'operators_key', settings.secrets.operators_key_file
+        )
+    except OSError as error:
+        raise StartError(f'operators key: {error}') from error
+    shown = operators.Operators(
+        ready=ready.is_set,
+        pages={'/events': events},
+        key=key,
+        registry=prometheus_client.REGISTRY,
+    )
+    return operators.make_server(settings.listen.operators_address, shown)
+
+
+def run(process: Process) -> None:
+    """Run an instance until SIGTERM or SIGINT, then stop it gracefully."""
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_args: process.stopping.set())
+    record = process.recorder.record
+    record(Event.PROCESS_STARTED, name=process.settings.instance.name)
+    loop = event_loop.LoopThread()
+    server = loop.submit(_serve_peers(process)).result()
+    process.live.start()
+    loop.submit(
+        exchange_module.run(process.exchange, _peer_addresses(process), None)
+    )
+    callers_address = process.callers_server.begin()
+    operators_address = operators.start(process.operators_server)
+    process.ready.set()
+    record(
+        Event.PROCESS_READY,
+        callers_address=callers_address,
+        operators_address=operators_address,
+    )
+    process.stopping.wait()
+    _stop(process)
+    server.close()
+    loop.stop()
+    record(Event.STOP_FINISHED)
+
+
+def _peer_addresses(process: Process) -> exchange_module.PeerAddresses:
+    seeds = process.settings.peers.addresses
+
+    def addresses(now_unix_s: float) -> tuple[str, ...]:
+        listed = process.live.peers_addresses(now_unix_s)
+        return tuple({*seeds, *listed})
+
+    return addresses
+
+
+async def _serve_peers(process: Process) -> grpclib.server.Server:
+    handlers = [peers.ExchangeServer(process.exchange.swap)]
+    server = grpclib.server.Server(handlers)
+    address = process.settings.listen.peers_address
+    host, _, port = address.rpartition(':')
+    await server.start(host, int(port))
+    return server
+
+
+def _stop(process: Process) -> None:
+    stop = process.settings.stop
+    process.recorder.record(Event.STOP_BEGUN)
+    process.ready.clear()
+    time.sleep(stop.settle_s)
+    process.callers_server.drain(stop.quiet_s)
+    process.operators_server.stop()
--- /dev/null
+++ b/wigeonfall/serving/whole.py
@@ -0,0 +1,101 @@
+"""Answers that are read to their end before the caller gets any of them."""
+
+import time
+
+import attrs
+from result import Err
+from result import Ok
+from result import Result
+
+from . import attempts as attempts_module
+from ..model.refusal import Refusal
+from ..model.refusal import Run
+from ..model.request import Request
+from ..ports.targets import AttemptError
+from ..ports.targets import AttemptErrorKind
+from ..ports.targets import AttemptFailed
+from .attempts import Attempts
+from .attempts import FailedTry
+
+_SERVER_ERRORS = range(500, 600)
+
+
+@attrs.frozen
+class WholeAnswer:
+    """An answer of a target, read to its proven end.
+
+    Attributes:
+        status: HTTP status.
+        headers: headers of the target's answer.
+        body: the whole body.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+def fetch(
+    attempts: Attempts, request: Request
+) -> Result[WholeAnswer, Refusal]:
+    """Return the whole answer to a request, tried as often as is allowed.
+
+    Args:
+        attempts: what tries need.
+        request: the request; it is tried again only if that does no harm.
+
+    Returns:
+        The answer, or the refusal for the caller. A refusal says "not run"
+        only if no attempt may have run.
+    """
+    excluded: frozenset[str] = frozenset()
+    ran = False
+    while True:
+        acquired = attempts.acquire(request, excluded, time.monotonic())
+        if isinstance(acquired, Err):
+            return Err(_truthful(acquired.err_value, ran))
+        tried = _try_once(attempts, request, acquired.ok_value)
+        if isinstance(tried, Ok):
+            return tried
+        failed = tried.err_value
+        ran = ran or failed.error.ran
+        if not attempts_module.may_try_again(
+            attempts, request, failed.error, time.monotonic()
+        ):
+            refusal = attempts_module.failure_refusal(request, failed.error)
+            return Err(_truthful(refusal, ran))
+        excluded |= {failed.target.name}
+
+
+def _truthful(refusal: Refusal, ran: bool) -> Refusal:
+    if ran and refusal.run is Run.NOT_RUN:
+        return attrs.evolve(refusal, run=Run.UNKNOWN)
+    return refusal
+
+
+def _try_once(
+    attempts: Attempts, request: Request, grant: attempts_module.Grant
+) -> Result[WholeAnswer, FailedTry]:
+    fresh = not request.idempotent
+    began = attempts_module.begin(
+        attempts, request, grant, fresh_connection=fresh
+    )
+    if isinstance(began, Err):
+        return began
+    begun = began.ok_value
+    try:
+        body = attempts_module.read_whole(begun, request.deadline_s)
+    except AttemptFailed as failure:
+        attempts_module.abandon(begun)
+        failed = FailedTry(grant.target, failure.error)
+        attempts_module.note_failure(
+            attempts, request, begun.id, failed, begun.began_s
+        )
+        return Err(failed)
+    status = begun.answer.status
+    faulty = status in _SERVER_ERRORS
+    attempts_module.end(attempts, request, begun, ok=not faulty)
+    if faulty and request.idempotent:
+        error = AttemptError(AttemptErrorKind.REFUSED, f'status {status}')
+        return Err(FailedTry(grant.target, error))
+    return Ok(WholeAnswer(status, begun.answer.headers, body))
