Answer callers when the scheduler itself fails, and stop the loop clean

Cause: a first run gave bare 500 answers, since cheroot hands over the path as text, and the stop ended with a closed-loop error from pending tasks. Change: the path is taken as it is; a fault becomes a refusal with run unknown and event 206; the loop cancels its tasks before it stops.

--- a/wigeonfall/adapters/callers.py
+++ b/wigeonfall/adapters/callers.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import http
+import logging
 import threading
 import time
 from typing import Any
@@ -18,6 +19,7 @@
 from ..ports.callers import Call
 from ..ports.callers import Handle
 
+_LOGGER = logging.getLogger('wigeonfall.callers')
 _IDLE_TIMEOUT_S = 10
 _POLL_S = 0.02
 _BACKLOG_CONNECTIONS = 1024
@@ -101,6 +103,12 @@
         host, port = self.socket.getsockname()[:2]
         return f'{host}:{port}'
 
+    def error_log(
+        self, msg: str = '', level: int = logging.INFO, traceback: bool = False
+    ) -> None:
+        """Log what cheroot reports, such as a broken connection."""
+        _LOGGER.log(level, msg, exc_info=traceback)
+
     def drain(self, quiet_s: float) -> None:
         """Answer what is there and what still arrives, then stop.
 
@@ -137,7 +145,7 @@
 
 
 def _read_call(environ: dict[str, Any], body_limit_bytes: int) -> Call:
-    path = environ['REQUEST_URI'].decode('latin-1')
+    path = environ['REQUEST_URI']
     headers = {
         name.removeprefix('HTTP_').replace('_', '-').lower(): value
         for name, value in environ.items()
--- a/wigeonfall/adapters/event_loop.py
+++ b/wigeonfall/adapters/event_loop.py
@@ -27,6 +27,14 @@
         return asyncio.run_coroutine_threadsafe(work, self.loop)
 
     def stop(self) -> None:
-        """Stop the loop and wait for its thread."""
+        """Cancel what runs on the loop, stop it and wait for its thread."""
+        self.submit(_cancel_all()).result()
         self.loop.call_soon_threadsafe(self.loop.stop)
         self._thread.join()
+
+
+async def _cancel_all() -> None:
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
--- a/wigeonfall/events.py
+++ b/wigeonfall/events.py
@@ -22,6 +22,7 @@
     ATTEMPT_STARTED = (203, logging.DEBUG, 'attempt started')
     ATTEMPT_FAILED = (204, logging.WARNING, 'attempt failed')
     ANSWER_DISCARDED = (205, logging.WARNING, 'answer of another attempt')
+    HANDLING_FAILED = (206, logging.ERROR, 'fault while handling a call')
 
     ORDER_CLAIMED = (301, logging.INFO, 'order claimed')
 
--- a/wigeonfall/serving/handling.py
+++ b/wigeonfall/serving/handling.py
@@ -18,6 +18,7 @@
 from ..model.refusal import Code
 from ..model.refusal import not_run
 from ..model.refusal import Refusal
+from ..model.refusal import unknown
 from ..model.request import Request
 from ..ports.callers import Call
 from ..recorder import Record
@@ -104,6 +105,22 @@
     return _run(handling, request)
 
 
+def refuse_fault(handling: Handling, call: Call, error: Exception) -> Answer:
+    """Return the refusal for a call that met a fault in this program.
+
+    Args:
+        handling: what the path needs.
+        call: the call of the caller.
+        error: the exception that nothing else caught.
+    """
+    request_id = intake.request_id_of(call.headers)
+    handling.record(
+        Event.HANDLING_FAILED, request_id=request_id, detail=repr(error)
+    )
+    refusal = unknown(Code.INTERNAL, 'the call met a fault in the scheduler')
+    return refusals.refuse(refusal, request_id)
+
+
 def _check(
     handling: Handling,
     call: Call,
--- a/wigeonfall/serving/process.py
+++ b/wigeonfall/serving/process.py
@@ -115,7 +115,10 @@
     handling: handling_module.Handling,
 ) -> callers.CallersServer:
     def handle(call: Call) -> Answer:
-        return handling_module.handle(handling, call)
+        try:
+            return handling_module.handle(handling, call)
+        except Exception as error:  # the caller still needs an answer
+            return handling_module.refuse_fault(handling, call, error)
 
     listen = callers.ListenSettings(
         settings.listen.callers_address,
