Add TLS, metrics and the time line command

Cause: the callers', operators' and peers' ports had no keys, and events of several processes could not be read together. Change: TLS contexts by the standard library with the handshake on the connection's own thread; guarded operators' paths closed without a key; metrics counted from events; timeline merges files and live instances. Ruled out: cheroot's own wrap, which shakes hands on the accepting thread. Conclusion: still to be proved by tests.

--- a/wigeonfall/adapters/callers.py
+++ b/wigeonfall/adapters/callers.py
@@ -18,6 +18,7 @@
 
 from ..ports.callers import Call
 from ..ports.callers import Handle
+from . import tls
 
 _LOGGER = logging.getLogger('wigeonfall.callers')
 _IDLE_TIMEOUT_S = 10
@@ -34,12 +35,14 @@
         threads: calls that are served at once.
         header_limit_bytes: largest head of a call.
         body_limit_bytes: largest body of a call.
+        tls_adapter: TLS for the port, or None.
     """
 
     address: str
     threads: int
     header_limit_bytes: int
     body_limit_bytes: int
+    tls_adapter: tls.LazyHandshake | None = None
 
 
 class _Connection(cheroot_server.HTTPConnection):
@@ -70,6 +73,7 @@
             timeout=_IDLE_TIMEOUT_S,
             request_queue_size=_BACKLOG_CONNECTIONS,
         )
+        self.ssl_adapter = settings.tls_adapter
         self.max_request_header_size = settings.header_limit_bytes
         self._open: set[_Connection] = set()
         self._open_lock = threading.Lock()
--- a/wigeonfall/adapters/operators.py
+++ b/wigeonfall/adapters/operators.py
@@ -11,6 +11,8 @@
 from cheroot import wsgi
 import prometheus_client
 
+from . import tls
+
 _THREADS = 4
 _JSON = 'application/json'
 _OPEN_PATHS = frozenset({'/health', '/ready'})
@@ -38,7 +40,8 @@
     Attributes:
         ready: returns whether the instance takes new calls.
         pages: functions that give the JSON value of each further path.
-        key: key that callers of guarded paths present, or '' for none.
+        key: key for all paths but health and readiness; without one, these
+            paths are closed.
         registry: metrics to show.
     """
 
@@ -53,17 +56,24 @@
     return Page(status, _JSON, json.dumps(value).encode())
 
 
-def make_server(address: str, operators: Operators) -> wsgi.Server:
+def make_server(
+    address: str,
+    operators: Operators,
+    tls_adapter: tls.LazyHandshake | None = None,
+) -> wsgi.Server:
     """Return the server of the operators' port, which is not started.
 
     Args:
         address: "host:port" to listen on.
         operators: what the port shows.
+        tls_adapter: TLS for the port, or None.
     """
     host, _, port = address.rpartition(':')
-    return wsgi.Server(
+    server = wsgi.Server(
         (host, int(port)), _application(operators), numthreads=_THREADS
     )
+    server.ssl_adapter = tls_adapter
+    return server
 
 
 def start(server: wsgi.Server) -> str:
@@ -112,7 +122,7 @@
 
 def _authorized(operators: Operators, environ: dict[str, Any]) -> bool:
     if not operators.key:
-        return True
+        return False
     scheme, _, key = environ.get('HTTP_AUTHORIZATION', '').partition(' ')
     same = hmac.compare_digest(key.encode(), operators.key.encode())
     return scheme.lower() == 'bearer' and same
--- a/wigeonfall/cli.py
+++ b/wigeonfall/cli.py
@@ -1,5 +1,7 @@
 """The command line."""
 
+import enum
+import json
 import pathlib
 from typing import Annotated
 from typing import NoReturn
@@ -7,13 +9,24 @@
 from result import Err
 import typer
 
+from . import errors
 from . import ini
 from . import recorder
 from . import settings as settings_module
+from . import timeline
 from . import VERSION
 from .serving import process
 
 EXIT_FAULT = 2
+EXIT_UNREACHABLE = 3
+
+
+class Output(enum.Enum):
+    """Form of what a command prints."""
+
+    TABLE = 'table'
+    JSON = 'json'
+
 
 app = typer.Typer(no_args_is_help=True, help='Schedule requests to engines.')
 
@@ -38,7 +51,36 @@
     if isinstance(configuration, Err):
         _fail(configuration.err_value)
     recorder.log_to_stdout(process_settings.log.level)
-    process.run(process.make_process(process_settings, configuration.ok_value))
+    try:
+        made = process.make_process(process_settings, configuration.ok_value)
+    except errors.WigeonfallError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(EXIT_FAULT) from error
+    process.run(made)
+
+
+@app.command('timeline')
+def show_timeline(
+    sources: Annotated[
+        list[str],
+        typer.Argument(help='Log files, or "host:port" of instances.'),
+    ],
+    output: Annotated[Output, typer.Option(help='Form of the output.')] = (
+        Output.TABLE
+    ),
+) -> None:
+    """Merge the events of files and instances in causal order."""
+    key = settings_module.read_secret('operators_key', '')
+    try:
+        read = [_read_events(source, key) for source in sources]
+    except timeline.TimelineError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(EXIT_UNREACHABLE) from error
+    for entry in timeline.merge(read):
+        if output is Output.JSON:
+            typer.echo(json.dumps(recorder.to_json(entry)))
+        else:
+            typer.echo(timeline.describe(entry))
 
 
 @app.command()
@@ -47,6 +89,13 @@
     typer.echo(VERSION)
 
 
+def _read_events(source: str, key: str) -> tuple[recorder.Entry, ...]:
+    path = pathlib.Path(source)
+    if path.exists() or ':' not in source:
+        return timeline.read_file(path)
+    return timeline.read_instance(source, key)
+
+
 def _fail(faults: ini.Faults) -> NoReturn:
     for fault in faults:
         typer.echo(str(fault), err=True)
--- a/wigeonfall/serving/process.py
+++ b/wigeonfall/serving/process.py
@@ -1,6 +1,7 @@
 """One entry instance: its parts, put together, started and stopped."""
 
 import signal
+import ssl
 import threading
 import time
 from typing import Any
@@ -12,6 +13,7 @@
 
 from .. import clock
 from .. import errors
+from .. import metrics
 from .. import recorder as recorder_module
 from .. import settings as settings_module
 from ..adapters import callers
@@ -20,6 +22,7 @@
 from ..adapters import peers
 from ..adapters import platform as platform_adapter
 from ..adapters import targets as targets_adapter
+from ..adapters import tls
 from ..events import Event
 from . import exchange as exchange_module
 from . import handling as handling_module
@@ -45,6 +48,7 @@
     callers_server: callers.CallersServer
     operators_server: Any
     exchange: exchange_module.Exchange
+    peers_contexts: tuple[ssl.SSLContext, ssl.SSLContext] | None
     live: live_list.LiveListReader
     ready: threading.Event
     stopping: threading.Event
@@ -68,15 +72,24 @@
     )
     recorder = recorder_module.Recorder(own.name, clock.HybridClock())
     platform = platform_adapter.make_platform(settings.platform.address)
-    live = live_list.LiveListReader(platform, recorder.record)
-    handling = _make_handling(settings, configuration, recorder, live)
+    registry = prometheus_client.CollectorRegistry()
+    record = metrics.counting(recorder.record, metrics.Metrics(registry))
+    live = live_list.LiveListReader(platform, record)
+    handling = _make_handling(settings, configuration, record, live)
     ready = threading.Event()
     return Process(
         settings=settings,
         recorder=recorder,
         callers_server=_make_callers_server(settings, handling),
-        operators_server=_make_operators_server(settings, recorder, ready),
+        operators_server=_make_operators_server(
+            settings, recorder, ready, registry
+        ),
         exchange=exchange_module.Exchange(own, recorder),
+        peers_contexts=tls.make_peers_contexts(
+            settings.tls.peers_certificate_file,
+            settings.tls.peers_key_file,
+            settings.tls.peers_authority_file,
+        ),
         live=live,
         ready=ready,
         stopping=threading.Event(),
@@ -86,7 +99,7 @@
 def _make_handling(
     settings: settings_module.ProcessSettings,
     configuration: Configuration,
-    recorder: recorder_module.Recorder,
+    record: recorder_module.Record,
     live: live_list.LiveListReader,
 ) -> handling_module.Handling:
     admission = local_admission.LocalAdmission(live.live_targets)
@@ -97,7 +110,7 @@
         succeeded=lambda _request, _now_s: None,
         leaving=live.target_leaving,
         observe=lambda _outcome, _now_s: None,
-        record=recorder.record,
+        record=record,
     )
     return handling_module.Handling(
         configuration=lambda: configuration,
@@ -105,7 +118,7 @@
         check_limits=lambda _customer, _now_s: Ok(None),
         choose_version=lambda request, _now_s: request,
         run_order=lambda request, dispatch: dispatch(request),
-        record=recorder.record,
+        record=record,
         body_limit_bytes=settings.limits.body_limit_bytes,
     )
 
@@ -120,11 +133,15 @@
         except Exception as error:  # the caller still needs an answer
             return handling_module.refuse_fault(handling, call, error)
 
+    files = settings.tls
     listen = callers.ListenSettings(
         settings.listen.callers_address,
         settings.limits.callers_threads,
         settings.limits.header_limit_bytes,
         settings.limits.body_limit_bytes,
+        tls.make_http_adapter(
+            files.callers_certificate_file, files.callers_key_file
+        ),
     )
     return callers.CallersServer(listen, handle)
 
@@ -133,6 +150,7 @@
     settings: settings_module.ProcessSettings,
     recorder: recorder_module.Recorder,
     ready: threading.Event,
+    registry: prometheus_client.CollectorRegistry,
 ) -> Any:
     def events() -> list[dict[str, Any]]:
         return [recorder_module.to_json(entry) for entry in recorder.entries()]
@@ -147,9 +165,18 @@
         ready=ready.is_set,
         pages={'/events': events},
         key=key,
-        registry=prometheus_client.REGISTRY,
+        registry=registry,
+    )
+    files = settings.tls
+    return operators.make_server(
+        settings.listen.operators_address,
+        shown,
+        tls.make_http_adapter(
+            files.operators_certificate_file,
+            files.operators_key_file,
+            files.operators_authority_file,
+        ),
     )
-    return operators.make_server(settings.listen.operators_address, shown)
 
 
 def run(process: Process) -> None:
@@ -161,9 +188,7 @@
     loop = event_loop.LoopThread()
     server = loop.submit(_serve_peers(process)).result()
     process.live.start()
-    loop.submit(
-        exchange_module.run(process.exchange, _peer_addresses(process), None)
-    )
+    loop.submit(_swap_with_peers(process))
     callers_address = process.callers_server.begin()
     operators_address = operators.start(process.operators_server)
     process.ready.set()
@@ -189,12 +214,21 @@
     return addresses
 
 
+async def _swap_with_peers(process: Process) -> None:
+    contexts = process.peers_contexts
+    client_context = contexts[1] if contexts else None
+    addresses = _peer_addresses(process)
+    await exchange_module.run(process.exchange, addresses, client_context)
+
+
 async def _serve_peers(process: Process) -> grpclib.server.Server:
     handlers = [peers.ExchangeServer(process.exchange.swap)]
     server = grpclib.server.Server(handlers)
     address = process.settings.listen.peers_address
     host, _, port = address.rpartition(':')
-    await server.start(host, int(port))
+    contexts = process.peers_contexts
+    server_context = contexts[0] if contexts else None
+    await server.start(host, int(port), ssl=server_context)
     return server
 
 
--- /dev/null
+++ b/wigeonfall/timeline.py
@@ -0,0 +1,99 @@
+"""The time line: events of many instances in causal order."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import datetime
+import heapq
+import json
+import pathlib
+
+import urllib3
+
+from . import errors
+from . import recorder
+from .recorder import Entry
+
+_TIMEOUT_S = 5.0
+
+
+class TimelineError(errors.WigeonfallError):
+    """Events of an instance or a file cannot be read."""
+
+
+def read_file(path: pathlib.Path) -> tuple[Entry, ...]:
+    """Return the events in a file of log lines.
+
+    Lines that are no events are passed over, since other programs may write
+    to the same stream.
+
+    Raises:
+        TimelineError: the file cannot be read.
+    """
+    try:
+        with path.open(encoding='utf-8') as lines:
+            return tuple(_entries(lines))
+    except (OSError, UnicodeDecodeError) as error:
+        raise TimelineError(f'{path}: {error}') from error
+
+
+def read_instance(address: str, operators_key: str) -> tuple[Entry, ...]:
+    """Return the events that an instance holds in memory.
+
+    Args:
+        address: "host:port" of its operators' port.
+        operators_key: key for the port, or ''.
+
+    Raises:
+        TimelineError: the instance gives no events.
+    """
+    headers = {}
+    if operators_key:
+        headers['Authorization'] = f'Bearer {operators_key}'
+    try:
+        response = urllib3.request(
+            'GET',
+            f'http://{address}/events',
+            headers=headers,
+            timeout=_TIMEOUT_S,
+            retries=False,
+        )
+        if response.status != 200:
+            raise TimelineError(f'{address}: status {response.status}')
+        return tuple(recorder.from_json(item) for item in response.json())
+    except (urllib3.exceptions.HTTPError, ValueError, KeyError) as error:
+        raise TimelineError(f'{address}: {error}') from error
+
+
+def merge(sources: Iterable[Iterable[Entry]]) -> Iterator[Entry]:
+    """Return the events of all sources in causal order, each once."""
+    ordered = [sorted(source, key=_order) for source in sources]
+    previous = None
+    for entry in heapq.merge(*ordered, key=_order):
+        if entry != previous:
+            yield entry
+        previous = entry
+
+
+def describe(entry: Entry) -> str:
+    """Return one line of text for an event."""
+    moment = datetime.datetime.fromtimestamp(
+        entry.stamp.time_ms / 1000, datetime.UTC
+    )
+    fields = ' '.join(f'{key}={value}' for key, value in entry.fields.items())
+    time_text = moment.strftime('%H:%M:%S.%f')[:-3]
+    return (
+        f'{time_text}+{entry.stamp.counter} {entry.instance} '
+        f'{entry.number} {entry.message} {fields}'.rstrip()
+    )
+
+
+def _order(entry: Entry) -> tuple[int, int, str]:
+    return entry.stamp.time_ms, entry.stamp.counter, entry.instance
+
+
+def _entries(lines: Iterable[str]) -> Iterator[Entry]:
+    for line in lines:
+        try:
+            yield recorder.from_json(json.loads(line))
+        except (ValueError, KeyError, TypeError):
+            continue
