Prove spliced streams and the truth of refusals over scripted targets

Cause: retries, resumption and refusals had no tests. Change: a port of targets that plays scripts, and property tests that break attempts at any byte, cross them and revoke their grants.

--- /dev/null
+++ b/tests/serving/test_relay.py
@@ -0,0 +1,107 @@
+"""Streams that break off, cross and are revoked."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err
+from result import Ok
+
+from tests.fakes import memory_targets
+from wigeonfall.ports.targets import AttemptError
+from wigeonfall.ports.targets import AttemptErrorKind
+from wigeonfall.serving import relay
+
+EVENTS = [memory_targets.make_event('r1', f'w{i}') for i in range(12)]
+DONE = b'data: [DONE]\n\n'
+WHOLE = b''.join(EVENTS) + DONE
+
+faults = st.sampled_from(
+    [
+        AttemptErrorKind.SILENT,
+        AttemptErrorKind.BROKEN,
+        AttemptErrorKind.CROSSED,
+        None,
+    ]
+)
+attempt_plans = st.tuples(
+    st.integers(0, len(WHOLE)),
+    st.lists(st.integers(1, len(WHOLE)), max_size=6),
+    faults,
+    st.booleans(),
+)
+
+
+def _stream(targets, retries=1000):
+    attempts = memory_targets.make_attempts(targets, retries)
+    opened = relay.open_stream(attempts, memory_targets.make_request())
+    assert isinstance(opened, Ok)
+    return opened.ok_value
+
+
+def _targets(plans):
+    remaining = list(plans)
+
+    def script_for(attempt):
+        rest = b''.join(EVENTS[attempt.resume_offset :]) + DONE
+        if not remaining:
+            return memory_targets.Script(chunks=(rest,))
+        length, cuts, fault, revoked = remaining.pop(0)
+        chunks = memory_targets.split(rest[:length], cuts)
+        return memory_targets.Script(
+            chunks=chunks,
+            read_error=AttemptError(fault, 'planned') if fault else None,
+            revoke_after=0 if revoked else None,
+        )
+
+    return memory_targets.MemoryTargets(script_for)
+
+
+@given(st.lists(attempt_plans, max_size=5))
+def test_every_event_arrives_once_whatever_breaks(plans) -> None:
+    targets = _targets(plans)
+    assert b''.join(_stream(targets)) == WHOLE
+    assert targets.released == targets.closed == len(targets.attempts)
+
+
+@given(st.lists(attempt_plans, max_size=5), st.integers(0, 3))
+def test_a_stream_is_whole_or_ends_with_an_error(plans, retries) -> None:
+    received = b''.join(_stream(_targets(plans), retries))
+    if received == WHOLE:
+        return
+    answer, marker, refusal = received.partition(b'event: error\n')
+    assert marker and DONE not in received
+    assert WHOLE.startswith(answer)
+    assert b'"run": "unknown"' in refusal
+
+
+def test_events_of_another_request_never_reach_the_caller() -> None:
+    crossed = EVENTS[0] + memory_targets.make_event('r2', 'secret')
+    scripts = [
+        memory_targets.Script(chunks=(EVENTS[0], crossed)),
+        memory_targets.Script(chunks=(b''.join(EVENTS[1:]) + DONE,)),
+    ]
+    targets = memory_targets.MemoryTargets(lambda a: scripts.pop(0))
+    received = b''.join(_stream(targets))
+    assert received == WHOLE
+    assert targets.attempts[1].resume_offset == 1
+
+
+def test_a_caller_that_goes_away_cancels_the_attempt() -> None:
+    targets = memory_targets.MemoryTargets(
+        lambda a: memory_targets.Script(chunks=tuple(EVENTS))
+    )
+    chunks = _stream(targets)
+    next(chunks)
+    chunks.close()
+    assert targets.closed == targets.released == 1
+
+
+def test_a_stream_that_no_target_begins_is_refused() -> None:
+    error = AttemptError(AttemptErrorKind.NOT_SENT, 'planned', ran=False)
+    targets = memory_targets.MemoryTargets(
+        lambda a: memory_targets.Script(open_error=error)
+    )
+    attempts = memory_targets.make_attempts(targets, retries=2)
+    opened = relay.open_stream(attempts, memory_targets.make_request())
+    assert isinstance(opened, Err)
+    assert opened.err_value.run.value == 'not-run'
+    assert len(targets.attempts) == 3
