--- a/tests/fakes/http_server.py
+++ b/tests/fakes/http_server.py
@@ -36,14 +36,22 @@
 
 
 class Responder:
-    """The sending half of one request's connection."""
+    """The sending half of one request's connection.
+
+    Attributes:
+        number: position of the request on its connection, from 1.
+        sent_bytes: bytes of the answer so far.
+    """
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        number: int,
     ) -> None:
         self._reader = reader
         self._writer = writer
-        self._chunked = False
+        self.number = number
         self.sent_bytes = 0
 
     @property
@@ -83,7 +91,6 @@
 
     async def start_stream(self, status: int, headers: dict[str, str]) -> None:
         """Send the head of an answer in chunks."""
-        self._chunked = True
         fields = {'Transfer-Encoding': 'chunked', **headers}
         await self._write(_head(status, fields))
 
@@ -146,6 +153,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        number = 0
         try:
             while not writer.is_closing():
                 self._idle.add(writer)
@@ -153,7 +161,9 @@
                 self._idle.discard(writer)
                 if request is None:
                     break
-                await self._handler(request, Responder(reader, writer))
+                number += 1
+                responder = Responder(reader, writer, number)
+                await self._handler(request, responder)
         except (OSError, EOFError, ValueError):
             pass
         finally:
