--- a/wigeonfall/adapters/callers.py
+++ b/wigeonfall/adapters/callers.py
@@ -6,8 +6,10 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import contextlib
 import http
 import logging
+import socket
 import threading
 import time
 from typing import Any
@@ -23,6 +25,11 @@
 _LOGGER = logging.getLogger('wigeonfall.callers')
 _IDLE_TIMEOUT_S = 10
 _POLL_S = 0.02
+_WATCH_PERIOD_S = 0.5
+_TOO_MANY_CONNECTIONS = (
+    b'HTTP/1.1 503 Service Unavailable\r\nX-Run: not-run\r\n'
+    b'Retry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n'
+)
 _BACKLOG_CONNECTIONS = 1024
 
 
@@ -35,6 +42,8 @@
         threads: calls that are served at once.
         header_limit_bytes: largest head of a call.
         body_limit_bytes: largest body of a call.
+        connections: connections that may be open at once.
+        read_timeout_s: time for a caller to send a whole call.
         tls_adapter: TLS for the port, or None.
     """
 
@@ -42,6 +51,8 @@
     threads: int
     header_limit_bytes: int
     body_limit_bytes: int
+    connections: int = 1000
+    read_timeout_s: float = 30.0
     tls_adapter: tls.LazyHandshake | None = None
 
 
@@ -51,8 +62,23 @@
     def __init__(self, server: 'CallersServer', *args: Any) -> None:
         super().__init__(server, *args)
         self._callers_server = server
+        self.reading_since_s: float | None = None
         server.connection_opened(self)
 
+    def communicate(self) -> bool:
+        """Serve one call and return whether the connection stays open."""
+        self.reading_since_s = time.monotonic()
+        self._callers_server.serving.connection = self
+        try:
+            return super().communicate()
+        finally:
+            self.reading_since_s = None
+
+    def cut(self) -> None:
+        """End a connection that another thread reads from."""
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+
     def close(self) -> None:
         """Close the connection."""
         super().close()
@@ -68,16 +94,20 @@
         host, _, port = settings.address.rpartition(':')
         super().__init__(
             (host, int(port)),
-            _make_application(handle, settings.body_limit_bytes),
+            _make_application(self, handle, settings.body_limit_bytes),
             numthreads=settings.threads,
             timeout=_IDLE_TIMEOUT_S,
             request_queue_size=_BACKLOG_CONNECTIONS,
         )
         self.ssl_adapter = settings.tls_adapter
         self.max_request_header_size = settings.header_limit_bytes
+        self.serving = threading.local()
+        self._connection_limit = settings.connections
+        self._read_timeout_s = settings.read_timeout_s
         self._open: set[_Connection] = set()
         self._open_lock = threading.Lock()
         self._last_change_s = time.monotonic()
+        self._stopped = threading.Event()
         self._thread: threading.Thread | None = None
 
     def connection_opened(self, connection: _Connection) -> None:
@@ -92,6 +122,32 @@
             self._open.discard(connection)
             self._last_change_s = time.monotonic()
 
+    def call_read(self) -> None:
+        """Note that this thread has read its call to the end."""
+        self.serving.connection.reading_since_s = None
+
+    def process_conn(self, conn: _Connection) -> None:
+        """Serve a connection, or refuse it above the limit."""
+        if self.open_connections() > self._connection_limit:
+            with contextlib.suppress(OSError):
+                conn.socket.sendall(_TOO_MANY_CONNECTIONS)
+            conn.close()
+            return
+        super().process_conn(conn)
+
+    def cut_slow_callers(self, now_s: float) -> None:
+        """End connections whose call is not read within the timeout."""
+        earliest_s = now_s - self._read_timeout_s
+        with self._open_lock:
+            slow = [
+                connection
+                for connection in self._open
+                if connection.reading_since_s is not None
+                and connection.reading_since_s < earliest_s
+            ]
+        for connection in slow:
+            connection.cut()
+
     def open_connections(self) -> int:
         """Return the number of connections that are open."""
         with self._open_lock:
@@ -104,6 +160,9 @@
             target=self.serve, name='callers', daemon=True
         )
         self._thread.start()
+        threading.Thread(
+            target=self._watch_callers, name='slow-callers', daemon=True
+        ).start()
         host, port = self.socket.getsockname()[:2]
         return f'{host}:{port}'
 
@@ -126,8 +185,13 @@
         self.keep_alive_conn_limit = 0
         while not self._quiet(quiet_s, time.monotonic()):
             time.sleep(_POLL_S)
+        self._stopped.set()
         self.stop()
 
+    def _watch_callers(self) -> None:
+        while not self._stopped.wait(_WATCH_PERIOD_S):
+            self.cut_slow_callers(time.monotonic())
+
     def _quiet(self, quiet_s: float, now_s: float) -> bool:
         with self._open_lock:
             idle = not self._open
@@ -135,12 +199,14 @@
 
 
 def _make_application(
-    handle: Handle, body_limit_bytes: int
+    server: CallersServer, handle: Handle, body_limit_bytes: int
 ) -> Callable[..., Iterable[bytes]]:
     def application(
         environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
-        answer = handle(_read_call(environ, body_limit_bytes))
+        call = _read_call(environ, body_limit_bytes)
+        server.call_read()
+        answer = handle(call)
         status = http.HTTPStatus(answer.status)
         start_response(f'{status.value} {status.phrase}', list(answer.headers))
         return answer.body
--- a/wigeonfall/serving/process.py
+++ b/wigeonfall/serving/process.py
@@ -139,7 +139,8 @@
         settings.limits.callers_threads,
         settings.limits.header_limit_bytes,
         settings.limits.body_limit_bytes,
-        tls.make_http_adapter(
+        settings.limits.connections,
+        tls_adapter=tls.make_http_adapter(
             files.callers_certificate_file, files.callers_key_file
         ),
     )
