--- a/wigeonfall/events.py
+++ b/wigeonfall/events.py
@@ -22,6 +22,7 @@
     ATTEMPT_STARTED = (203, logging.DEBUG, 'attempt started')
     ATTEMPT_FAILED = (204, logging.WARNING, 'attempt failed')
     ANSWER_DISCARDED = (205, logging.WARNING, 'answer of another attempt')
+    HANDLING_FAILED = (206, logging.ERROR, 'fault while handling a call')
 
     ORDER_CLAIMED = (301, logging.INFO, 'order claimed')
 
@@ -33,6 +34,9 @@
 
     PLATFORM_UNREACHABLE = (701, logging.WARNING, 'platform unreachable')
     PLATFORM_REACHABLE = (702, logging.INFO, 'platform reachable')
+    PEER_UNREACHABLE = (703, logging.WARNING, 'peer unreachable')
+    PEER_REACHABLE = (704, logging.INFO, 'peer reachable')
+    TOPIC_UNREADABLE = (705, logging.WARNING, 'state of a topic unreadable')
 
     def __init__(self, number: int, level: int, message: str) -> None:
         self.number = number
