Hash prompts in the engine stand-in as the scheduler does, and stop clean

Cache events name blocks by hash, so the scheduler and an engine must hash alike: blocks of 1024 characters over the same text. Stopping a stand-in in a thread failed on asyncio.gather outside a loop and left its listening socket open, which pytest showed as warnings; the tasks are now cancelled inside the loop, and the server closes first.

--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -330,7 +330,7 @@
 def start(
     port: int = 0,
     identity: target.Identity | None = None,
-    cache_blocks: int = 1024,
+    cache_blocks: int = 256,
     **switches: Any,
 ) -> http_server.Handle:
     """Start an engine in a thread with these switches set."""
@@ -349,7 +349,7 @@
     version: str = 'v1',
     platform: str = '',
     checks_fencing: bool = False,
-    cache_blocks: int = 1024,
+    cache_blocks: int = 256,
     prefill_tokens_per_s: float = 8000,
     decode_tokens_per_s: float = 50,
     slots: int = 8,
--- a/tests/fakes/http_server.py
+++ b/tests/fakes/http_server.py
@@ -143,6 +143,11 @@
         host, bound_port = self._server.sockets[0].getsockname()[:2]
         self.address = f'{host}:{bound_port}'
 
+    def close(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
     def close_idle(self) -> int:
         """Close connections that wait for a request; return how many."""
         idle = tuple(self._idle)
@@ -164,7 +169,7 @@
                 number += 1
                 responder = Responder(reader, writer, number)
                 await self._handler(request, responder)
-        except (OSError, EOFError, ValueError):
+        except (OSError, EOFError, ValueError, asyncio.CancelledError):
             pass
         finally:
             self._idle.discard(writer)
@@ -200,7 +205,8 @@
         task = loop.create_task(run())
         task.add_done_callback(lambda _: listening.set())
         loop.run_forever()
-        _cancel_all(loop)
+        server.close()
+        loop.run_until_complete(_cancel_others())
         loop.close()
 
     thread = threading.Thread(target=main, daemon=True)
@@ -229,12 +235,12 @@
     asyncio.run(run())
 
 
-def _cancel_all(loop: asyncio.AbstractEventLoop) -> None:
-    tasks = asyncio.all_tasks(loop)
+async def _cancel_others() -> None:
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
     for task in tasks:
         task.cancel()
-    loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
-    loop.run_until_complete(asyncio.sleep(0))
+    await asyncio.gather(*tasks, return_exceptions=True)
+    await asyncio.sleep(0)
 
 
 def _head(status: int, headers: dict[str, str]) -> bytes:
--- a/tests/fakes/prefix_cache.py
+++ b/tests/fakes/prefix_cache.py
@@ -1,6 +1,6 @@
 """The prefix cache of the engine stand-in: blocks of tokens, LRU.
 
-A token is four characters. A block is 64 tokens; its hash chains over the
+A token is four characters. A block is 256 tokens; its hash chains over the
 blocks before it, so that equal hashes mean equal prefixes.
 """
 
@@ -13,29 +13,28 @@
 import xxhash
 
 TOKEN_CHARS = 4
-BLOCK_TOKENS = 64
+BLOCK_TOKENS = 256
 BLOCK_CHARS = BLOCK_TOKENS * TOKEN_CHARS
 KEPT_EVENTS = 20_000
 
 
 def prompt_text(messages: list[dict[str, Any]]) -> str:
     """Return the text that the hashes of a prompt are computed over."""
-    return ''.join(f'{m["role"]}\n{m["content"]}\n' for m in messages)
+    return ''.join(f'{m["role"]}: {m["content"]}\n' for m in messages)
 
 
 def count_tokens(text: str) -> int:
     """Return the number of tokens of a text."""
-    return max(1, len(text) // TOKEN_CHARS)
+    return -(-len(text) // TOKEN_CHARS)
 
 
 def block_hashes(text: str) -> tuple[int, ...]:
     """Return the chained hashes of the whole leading blocks of a text."""
+    digest = xxhash.xxh64()
     hashes = []
-    previous = 0
     for start in range(0, len(text) - BLOCK_CHARS + 1, BLOCK_CHARS):
-        block = text[start : start + BLOCK_CHARS].encode()
-        previous = xxhash.xxh64_intdigest(block, seed=previous)
-        hashes.append(previous)
+        digest.update(text[start : start + BLOCK_CHARS].encode())
+        hashes.append(digest.intdigest())
     return tuple(hashes)
 
 
--- a/tests/fakes/test_engine.py
+++ b/tests/fakes/test_engine.py
@@ -12,7 +12,7 @@
 from . import engine
 from . import engine_values
 
-MESSAGES = [{'role': 'user', 'content': 'how long does biltong dry? ' * 40}]
+MESSAGES = [{'role': 'user', 'content': 'how long does biltong dry? ' * 160}]
 
 
 @pytest.fixture
@@ -67,8 +67,8 @@
     second.read()
     cached = [int(a.headers['X-Cached-Tokens']) for a in (first, second)]
     records = _records(url)
-    assert cached == [0, 4 * 64]
-    assert [r['prefilled_tokens'] for r in records] == [271, 271 - 4 * 64]
+    assert cached == [0, 4 * 256]
+    assert [r['prefilled_tokens'] for r in records] == [1082, 1082 - 4 * 256]
 
 
 def test_closed_connection_cancels_the_stream(url: str) -> None:
