--- /dev/null
+++ b/tests/adapters/test_targets.py
@@ -0,0 +1,108 @@
+"""Attempts over real sockets."""
+
+import socket
+import threading
+import time
+
+from result import Err
+from result import Ok
+
+from wigeonfall.adapters import targets as targets_adapter
+from wigeonfall.model import target
+from wigeonfall.ports import targets as port
+
+
+def _serve(*answers, delay_s=0.0):
+    """Answer connections one after the other with the given bytes."""
+    listener = socket.create_server(('127.0.0.1', 0))
+
+    def run():
+        for answer in answers:
+            connection, _ = listener.accept()
+            with connection:
+                connection.recv(65536)
+                time.sleep(delay_s)
+                connection.sendall(answer)
+        listener.close()
+
+    threading.Thread(target=run, daemon=True).start()
+    return f'127.0.0.1:{listener.getsockname()[1]}'
+
+
+def _attempt(address, **changes):
+    values = {
+        'id': 'a1',
+        'request_id': 'r1',
+        'target': target.Target('t1', 'app', 'dc', address),
+        'method': 'POST',
+        'path': '/x',
+        'headers': (),
+        'body': b'{}',
+    }
+    return port.Attempt(**{**values, **changes})
+
+
+def _head(length, attempt_id='a1'):
+    return (
+        f'HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt_id}\r\n'
+        f'Content-Length: {length}\r\n\r\n'
+    ).encode()
+
+
+def _read(opened):
+    assert isinstance(opened, Ok)
+    answer = opened.ok_value
+    parts = []
+    while chunk := answer.read():
+        parts.append(chunk)
+    answer.close()
+    return b''.join(parts)
+
+
+def test_a_slow_first_byte_is_waited_for_longer_than_a_connection() -> None:
+    address = _serve(_head(2) + b'ok', delay_s=0.4)
+    attempt = _attempt(address, connect_timeout_s=0.1, first_byte_timeout_s=30)
+    assert _read(targets_adapter.make_targets().open(attempt)) == b'ok'
+
+
+def test_a_truncated_answer_is_broken() -> None:
+    opened = targets_adapter.make_targets().open(
+        _attempt(_serve(_head(10) + b'half'))
+    )
+    try:
+        _read(opened)
+    except port.AttemptFailed as failure:
+        assert failure.error.kind is port.AttemptErrorKind.BROKEN
+        assert failure.error.ran
+    else:
+        raise AssertionError('a truncated answer passed for whole')
+
+
+def test_an_answer_of_another_attempt_is_crossed() -> None:
+    opened = targets_adapter.make_targets().open(
+        _attempt(_serve(_head(2, 'a2') + b'ok'))
+    )
+    assert opened.err_value.kind is port.AttemptErrorKind.CROSSED
+
+
+def test_a_refused_connection_is_provably_not_run() -> None:
+    listener = socket.create_server(('127.0.0.1', 0))
+    address = f'127.0.0.1:{listener.getsockname()[1]}'
+    listener.close()
+    opened = targets_adapter.make_targets().open(_attempt(address))
+    assert isinstance(opened, Err)
+    assert not opened.err_value.ran
+
+
+def test_a_connection_closed_after_the_request_may_have_run() -> None:
+    opened = targets_adapter.make_targets().open(_attempt(_serve(b'')))
+    assert opened.err_value.ran
+
+
+def test_silence_is_told_from_a_broken_connection() -> None:
+    address = _serve(_head(2) + b'ok', delay_s=5)
+    opened = targets_adapter.make_targets().open(
+        _attempt(address, first_byte_timeout_s=0.1)
+    )
+    assert opened.err_value.kind is port.AttemptErrorKind.SILENT
+    assert opened.err_value.ran
--- a/tests/fakes/memory_targets.py
+++ b/tests/fakes/memory_targets.py
@@ -9,6 +9,7 @@
 from result import Result
 
 from wigeonfall.model import customer
+from wigeonfall.model import refusal
 from wigeonfall.model import request as request_module
 from wigeonfall.model import service
 from wigeonfall.model import target
@@ -42,7 +43,8 @@
 class MemoryTargets:
     """Targets that play scripts, one for each attempt."""
 
-    def __init__(self, script_for) -> None:
+    def __init__(self, script_for, only_target_twice: bool = True) -> None:
+        self.only_target_twice = only_target_twice
         self.attempts: list[port.Attempt] = []
         self.closed = 0
         self.released = 0
@@ -77,7 +79,9 @@
         excluded: frozenset[str],
         now_s: float,
     ) -> Result[local_admission.Grant, object]:
-        """Grant any request at once."""
+        """Grant any request at once, unless the only target is excluded."""
+        if 't1' in excluded and not self.only_target_twice:
+            return Err(refusal.not_run(refusal.Code.NO_TARGET, 'planned'))
         self._revoked = threading.Event()
         granted = target.Target('t1', request.service.name, 'dc', 'h:1')
         return Ok(local_admission.Grant(granted, self._revoked, self._release))
--- a/tests/serving/test_relay.py
+++ b/tests/serving/test_relay.py
@@ -105,3 +105,30 @@
     assert isinstance(opened, Err)
     assert opened.err_value.run.value == 'not-run'
     assert len(targets.attempts) == 3
+
+
+def test_a_stream_that_may_have_run_is_never_refused_as_not_run() -> None:
+    silent = AttemptError(AttemptErrorKind.SILENT, 'planned')
+    not_sent = AttemptError(AttemptErrorKind.NOT_SENT, 'planned', ran=False)
+    scripts = [silent, not_sent, not_sent, not_sent]
+    targets = memory_targets.MemoryTargets(
+        lambda a: memory_targets.Script(open_error=scripts.pop(0)),
+        only_target_twice=False,
+    )
+    attempts = memory_targets.make_attempts(targets, retries=1)
+    opened = relay.open_stream(attempts, memory_targets.make_request())
+    assert opened.err_value.run.value == 'unknown'
+
+
+def test_a_stream_goes_on_at_the_only_target_there_is() -> None:
+    broken = AttemptError(AttemptErrorKind.BROKEN, 'planned')
+    targets = memory_targets.MemoryTargets(
+        lambda a: memory_targets.Script(
+            chunks=(b''.join(EVENTS[a.resume_offset :]) + DONE,)
+            if a.resume_offset
+            else tuple(EVENTS[:3]),
+            read_error=broken,
+        ),
+        only_target_twice=False,
+    )
+    assert b''.join(_stream(targets)) == WHOLE
--- a/wigeonfall/adapters/targets.py
+++ b/wigeonfall/adapters/targets.py
@@ -113,7 +113,7 @@
 ) -> Result[TargetAnswer, AttemptError]:
     sock = connection.sock
     try:
-        sock.settimeout(attempt.first_byte_timeout_s)
+        connection.timeout = attempt.first_byte_timeout_s
         connection.request(
             attempt.method,
             attempt.path,
--- a/wigeonfall/serving/attempts.py
+++ b/wigeonfall/serving/attempts.py
@@ -13,6 +13,7 @@
 from ..model.refusal import Code
 from ..model.refusal import not_run
 from ..model.refusal import Refusal
+from ..model.refusal import Run
 from ..model.refusal import unknown
 from ..model.request import Request
 from ..model.target import Target
@@ -24,6 +25,8 @@
 from ..recorder import Record
 from .local_admission import Grant
 
+SAME_TARGET_DELAY_S = 0.05
+
 Acquire = Callable[[Request, frozenset[str], float], Result[Grant, Refusal]]
 
 
@@ -101,6 +104,40 @@
     error: AttemptError
 
 
+def acquire(
+    attempts: Attempts, request: Request, excluded: frozenset[str]
+) -> Result[Grant, Refusal]:
+    """Wait for a grant, at a target that failed before if there is no other.
+
+    Args:
+        attempts: what tries need.
+        request: the request.
+        excluded: names of targets that failed it before.
+
+    Returns:
+        The grant, or a refusal.
+    """
+    acquired = attempts.acquire(request, excluded, time.monotonic())
+    if isinstance(acquired, Ok) or not excluded:
+        return acquired
+    if acquired.err_value.code is not Code.NO_TARGET:
+        return acquired
+    time.sleep(SAME_TARGET_DELAY_S)
+    return attempts.acquire(request, frozenset(), time.monotonic())
+
+
+def truthful(refusal: Refusal, ran: bool) -> Refusal:
+    """Return a refusal that says "not run" only if no attempt may have run.
+
+    Args:
+        refusal: the refusal at the end of some attempts.
+        ran: whether any of the attempts may have run.
+    """
+    if ran and refusal.run is Run.NOT_RUN:
+        return attrs.evolve(refusal, run=Run.UNKNOWN)
+    return refusal
+
+
 def begin(
     attempts: Attempts,
     request: Request,
--- a/wigeonfall/serving/relay.py
+++ b/wigeonfall/serving/relay.py
@@ -36,6 +36,7 @@
 
     def __init__(self, request_id: str) -> None:
         self.delivered_events = 0
+        self.ran = False
         self.done = False
         self._marker = b'data: {"id":"chatcmpl-' + request_id.encode() + b'"'
         self._rest = b''
@@ -169,15 +170,17 @@
     excluded: frozenset[str],
 ) -> Result[Try, Refusal]:
     while True:
-        acquired = attempts.acquire(request, excluded, time.monotonic())
+        acquired = attempts_module.acquire(attempts, request, excluded)
         if isinstance(acquired, Err):
-            return acquired
+            refusal = acquired.err_value
+            return Err(attempts_module.truthful(refusal, splice.ran))
         began = attempts_module.begin(
             attempts, request, acquired.ok_value, splice.delivered_events
         )
         if isinstance(began, Ok):
             begun = began.ok_value
             if begun.answer.status == _HTTP_OK:
+                splice.ran = True
                 return began
             error = AttemptError(
                 AttemptErrorKind.REFUSED, f'status {begun.answer.status}'
@@ -188,10 +191,12 @@
                 return Err(_rejected(begun))
         else:
             error = began.err_value.error
+        splice.ran = splice.ran or error.ran
         if not attempts_module.may_try_again(
             attempts, request, error, time.monotonic()
         ):
-            return Err(attempts_module.failure_refusal(request, error))
+            refusal = attempts_module.failure_refusal(request, error)
+            return Err(attempts_module.truthful(refusal, splice.ran))
         excluded |= {acquired.ok_value.target.name}
 
 
--- a/wigeonfall/serving/whole.py
+++ b/wigeonfall/serving/whole.py
@@ -9,7 +9,6 @@
 
 from . import attempts as attempts_module
 from ..model.refusal import Refusal
-from ..model.refusal import Run
 from ..model.request import Request
 from ..ports.targets import AttemptError
 from ..ports.targets import AttemptErrorKind
@@ -51,9 +50,9 @@
     excluded: frozenset[str] = frozenset()
     ran = False
     while True:
-        acquired = attempts.acquire(request, excluded, time.monotonic())
+        acquired = attempts_module.acquire(attempts, request, excluded)
         if isinstance(acquired, Err):
-            return Err(_truthful(acquired.err_value, ran))
+            return Err(attempts_module.truthful(acquired.err_value, ran))
         tried = _try_once(attempts, request, acquired.ok_value)
         if isinstance(tried, Ok):
             return tried
@@ -63,16 +62,10 @@
             attempts, request, failed.error, time.monotonic()
         ):
             refusal = attempts_module.failure_refusal(request, failed.error)
-            return Err(_truthful(refusal, ran))
+            return Err(attempts_module.truthful(refusal, ran))
         excluded |= {failed.target.name}
 
 
-def _truthful(refusal: Refusal, ran: bool) -> Refusal:
-    if ran and refusal.run is Run.NOT_RUN:
-        return attrs.evolve(refusal, run=Run.UNKNOWN)
-    return refusal
-
-
 def _try_once(
     attempts: Attempts, request: Request, grant: attempts_module.Grant
 ) -> Result[WholeAnswer, FailedTry]:
