Decide on grants, revocations and shedding in a pool

Engines admit as requests arrive, so a pool's queue has to be here: a bounded amount of work is outstanding at each target and the rest waits by tier, then by start-time fair queueing on tokens between customers, then by deadline.

A request without room reserves the target that has room first once lower tiers have left it. That keeps small requests from passing a large one for ever, and makes revocations useful: only grants at the reserved target are revoked, the lowest tier first, and only after a wait of at most 0.25 s or a tenth of the time to the deadline. A full queue skips that wait. Requests are shed as overload only while nothing of a lower tier waits or runs; until then the queue may exceed its bound.

Ruled out: revoking at once (costs prefill for room that comes free anyway), strict order without passing (idles other targets behind one large request), passing without reservation (starves large requests), and revoking where it cannot make enough room.

--- /dev/null
+++ b/wigeonfall/policy/admission.py
@@ -0,0 +1,261 @@
+"""Decides which waiting request goes to which target of a pool, and when.
+
+A bounded amount of work is outstanding at each target; the rest waits,
+ordered by tier, then fairly between customers, then by deadline. A request
+that finds no room reserves the target that will have room first, and after a
+short wait lower-tier work at that target is revoked for it. A request is shed
+as overload only when no lower-tier work waits or runs anywhere in the pool.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Sequence
+import heapq
+from typing import TypeAlias
+
+from . import affinity
+from .fair_queue import FairQueue
+from .grants import Decision
+from .grants import Granted
+from .grants import Held
+from .grants import Pending
+from .grants import PoolLimits
+from .grants import Revoked
+from .grants import Shed
+from .grants import ShedReason
+from .grants import TargetLoad
+from .target_account import TargetAccount
+
+PREEMPTION_WAIT_S = 0.25
+PREEMPTION_WAIT_SHARE = 0.1
+REVOCATION_REPEAT_S = 1.0
+SCAN_REQUESTS = 256
+
+Choose: TypeAlias = Callable[[Pending, Sequence[TargetLoad], float], str]
+
+
+def preemption_time_s(pending: Pending) -> float:
+    """Return when a waiting request may take the place of lower tiers."""
+    wait_s = PREEMPTION_WAIT_SHARE * (pending.deadline_s - pending.arrived_s)
+    return pending.arrived_s + min(PREEMPTION_WAIT_S, wait_s)
+
+
+class Pool:
+    """The waiting requests and the grants of one pool.
+
+    Args:
+        limits: bounds of the pool.
+        choose: returns the name of one of the targets with room for a
+            request.
+    """
+
+    def __init__(
+        self, limits: PoolLimits, choose: Choose = affinity.choose
+    ) -> None:
+        self._limits = limits
+        self._choose = choose
+        self._targets: dict[str, TargetAccount] = {}
+        self._held: dict[str, Held] = {}
+        self._queues: dict[int, FairQueue] = {}
+        self._deadlines: list[tuple[float, str, int]] = []
+        self._running: dict[int, int] = {}
+        self._paused = False
+
+    @property
+    def limits(self) -> PoolLimits:
+        """Bounds of the pool."""
+        return self._limits
+
+    @property
+    def queued_requests(self) -> int:
+        """Number of requests that wait."""
+        return sum(len(queue) for queue in self._queues.values())
+
+    def held(self) -> tuple[Held, ...]:
+        """Return the grants that are not released."""
+        return tuple(self._held.values())
+
+    def configure(self, limits: PoolLimits, targets: Iterable[str]) -> None:
+        """Set the limits and the names of the targets that take new work."""
+        self._limits = limits
+        names = set(targets)
+        for name in names - self._targets.keys():
+            self._targets[name] = TargetAccount(name)
+        for name, account in tuple(self._targets.items()):
+            account.live = name in names
+            if not account.live and not account.outstanding.requests:
+                del self._targets[name]
+
+    def pause(self, paused: bool) -> None:
+        """Stop or go on to grant and to shed; deadlines still pass."""
+        self._paused = paused
+
+    def enqueue(self, pending: Pending) -> None:
+        """Let a request wait, unless it waits or is granted already."""
+        if pending.id in self._held:
+            return
+        queue = self._queues.setdefault(pending.rank, FairQueue())
+        queue.push(pending)
+        heapq.heappush(
+            self._deadlines, (pending.deadline_s, pending.id, pending.rank)
+        )
+
+    def cancel(self, pending_id: str) -> None:
+        """End a wait or give a grant back; unknown identifiers are fine."""
+        for queue in self._queues.values():
+            queue.remove(pending_id)
+        self.release(pending_id)
+
+    def release(self, held_id: str) -> None:
+        """Give a grant back; unknown identifiers are fine."""
+        held = self._held.pop(held_id, None)
+        if held is None:
+            return
+        self._running[held.rank] -= 1
+        account = self._targets[held.target]
+        account.remove(held_id)
+        if not account.live and not account.outstanding.requests:
+            del self._targets[held.target]
+
+    def hold(self, held: Held) -> None:
+        """Count a grant that was given elsewhere or before."""
+        if held.id in self._held:
+            return
+        account = self._targets.get(held.target)
+        if account is None:
+            account = TargetAccount(held.target)
+            account.live = False
+            self._targets[held.target] = account
+        account.add(held, self._limits)
+        self._held[held.id] = held
+        self._running[held.rank] = self._running.get(held.rank, 0) + 1
+
+    def forget_waiting(self, holder: str) -> None:
+        """Drop the waiting requests of a holder."""
+        for queue in self._queues.values():
+            for pending_id in queue.ids_of(holder):
+                queue.remove(pending_id)
+
+    def forget_held(self, holder: str) -> None:
+        """Drop the grants of a holder."""
+        for held in self.held():
+            if held.holder == holder:
+                self.release(held.id)
+
+    def decide(self, now_s: float) -> tuple[Decision, ...]:
+        """Return what is decided now; the state has changed accordingly.
+
+        Args:
+            now_s: present time on the clock of the pool's other times.
+        """
+        decisions: list[Decision] = list(self._expire(now_s))
+        if self._paused:
+            return tuple(decisions)
+        decisions.extend(self._repeat_revocations(now_s))
+        decisions.extend(self._place(now_s))
+        decisions.extend(self._shed_overflow())
+        return tuple(decisions)
+
+    def _expire(self, now_s: float) -> Iterator[Decision]:
+        while self._deadlines and self._deadlines[0][0] <= now_s:
+            _, pending_id, rank = heapq.heappop(self._deadlines)
+            pending = self._queues[rank].remove(pending_id)
+            if pending is not None:
+                yield Shed(pending.id, pending.holder, ShedReason.DEADLINE)
+
+    def _repeat_revocations(self, now_s: float) -> Iterator[Decision]:
+        for account in self._targets.values():
+            for held in account.revoked_before(now_s - REVOCATION_REPEAT_S):
+                account.revoke(held.id, now_s)
+                yield Revoked(held.id, held.holder)
+
+    def _place(self, now_s: float) -> Iterator[Decision]:
+        live = [a for a in self._targets.values() if a.live]
+        for account in live:
+            account.reserved.requests = 0
+            account.reserved.tokens = 0
+        overfull = self.queued_requests > self._limits.queued_requests
+        for rank in sorted(self._queues):
+            for scanned, pending in enumerate(self._queues[rank].scan()):
+                if scanned >= SCAN_REQUESTS or self._stuck(rank, live):
+                    break
+                eligible = [
+                    a for a in live if a.name not in pending.excluded_targets
+                ]
+                if not eligible:
+                    self._queues[rank].remove(pending.id)
+                    yield Shed(
+                        pending.id, pending.holder, ShedReason.NO_TARGET
+                    )
+                    continue
+                with_room = [
+                    a for a in eligible if a.has_room(pending, self._limits)
+                ]
+                if with_room:
+                    yield self._grant(pending, with_room, now_s)
+                    continue
+                urgent = overfull or now_s >= preemption_time_s(pending)
+                yield from self._reserve(pending, eligible, urgent, now_s)
+
+    def _stuck(self, rank: int, live: list[TargetAccount]) -> bool:
+        """Return whether no request of a tier can be helped any more."""
+        if any(a.open(self._limits) for a in live):
+            return False
+        return bool(live) and not any(a.yields_to(rank) for a in live)
+
+    def _grant(
+        self,
+        pending: Pending,
+        with_room: list[TargetAccount],
+        now_s: float,
+    ) -> Granted:
+        loads = [
+            TargetLoad(a.name, a.outstanding.requests, a.outstanding.tokens)
+            for a in with_room
+        ]
+        target = self._choose(pending, loads, now_s)
+        self._queues[pending.rank].take(pending)
+        self.hold(
+            Held(
+                pending.id,
+                pending.holder,
+                target,
+                pending.rank,
+                pending.cost_tokens,
+                pending.revocable,
+                now_s,
+            )
+        )
+        return Granted(pending.id, pending.holder, target)
+
+    def _reserve(
+        self,
+        pending: Pending,
+        eligible: list[TargetAccount],
+        urgent: bool,
+        now_s: float,
+    ) -> Iterator[Decision]:
+        account = min(
+            eligible, key=lambda a: (a.fill(pending, self._limits), a.name)
+        )
+        if urgent:
+            for held in account.victims(pending, self._limits):
+                account.revoke(held.id, now_s)
+                yield Revoked(held.id, held.holder)
+        account.reserve(pending, self._limits)
+
+    def _shed_overflow(self) -> Iterator[Decision]:
+        excess = self.queued_requests - self._limits.queued_requests
+        for rank in sorted(self._queues, reverse=True):
+            queue = self._queues[rank]
+            while excess > 0 and not self._runs_below(rank):
+                pending = queue.last()
+                if pending is None:
+                    break
+                queue.remove(pending.id)
+                excess -= 1
+                yield Shed(pending.id, pending.holder, ShedReason.OVERLOADED)
+
+    def _runs_below(self, rank: int) -> bool:
+        return any(n for r, n in self._running.items() if r > rank)
--- /dev/null
+++ b/wigeonfall/policy/target_account.py
@@ -0,0 +1,188 @@
+"""Accounts of what is outstanding at one target, by tier."""
+
+import attrs
+
+from .grants import Held
+from .grants import Pending
+from .grants import PoolLimits
+
+
+@attrs.define
+class Work:
+    """An amount of work: a count of requests and their tokens."""
+
+    requests: int = 0
+    tokens: int = 0
+
+    def add(self, tokens: int) -> None:
+        """Add one request."""
+        self.requests += 1
+        self.tokens += tokens
+
+    def remove(self, tokens: int) -> None:
+        """Remove one request."""
+        self.requests -= 1
+        self.tokens -= tokens
+
+
+@attrs.define
+class _Account:
+    held: Held
+    charge_tokens: int
+    revoked_s: float | None = None
+
+
+class TargetAccount:
+    """What is outstanding at one target.
+
+    Attributes:
+        name: name of the target.
+        live: whether new work may be sent to it.
+        outstanding: work of all grants that are not released.
+        reserved: work that waits for this target in the present decision.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.live = True
+        self.outstanding = Work()
+        self.reserved = Work()
+        self._accounts: dict[str, _Account] = {}
+        self._revoked = Work()
+        self._revocable: dict[int, Work] = {}
+
+    def add(self, held: Held, limits: PoolLimits) -> None:
+        """Count a grant; one above the limit counts as a full target."""
+        charge_tokens = charge(held.cost_tokens, limits)
+        self._accounts[held.id] = _Account(held, charge_tokens)
+        self.outstanding.add(charge_tokens)
+        if held.revocable:
+            work = self._revocable.setdefault(held.rank, Work())
+            work.add(charge_tokens)
+
+    def remove(self, held_id: str) -> None:
+        """Stop counting a grant."""
+        account = self._accounts.pop(held_id)
+        self.outstanding.remove(account.charge_tokens)
+        if account.revoked_s is not None:
+            self._revoked.remove(account.charge_tokens)
+        elif account.held.revocable:
+            self._revocable[account.held.rank].remove(account.charge_tokens)
+
+    def revoke(self, held_id: str, now_s: float) -> None:
+        """Count a grant as on its way back."""
+        account = self._accounts[held_id]
+        if account.revoked_s is None:
+            self._revocable[account.held.rank].remove(account.charge_tokens)
+            self._revoked.add(account.charge_tokens)
+        account.revoked_s = now_s
+
+    def revoked_before(self, time_s: float) -> list[Held]:
+        """Return grants revoked before a time and not yet released."""
+        if not self._revoked.requests:
+            return []
+        return [
+            a.held
+            for a in self._accounts.values()
+            if a.revoked_s is not None and a.revoked_s <= time_s
+        ]
+
+    def has_room(self, pending: Pending, limits: PoolLimits) -> bool:
+        """Return whether a request can be sent to the target now."""
+        return self._fits(self.outstanding, pending, limits)
+
+    def open(self, limits: PoolLimits) -> bool:
+        """Return whether the smallest request could be sent now."""
+        requests = self.outstanding.requests + self.reserved.requests
+        tokens = self.outstanding.tokens + self.reserved.tokens
+        return (
+            requests < limits.outstanding_requests
+            and tokens <= limits.outstanding_tokens
+        )
+
+    def yields_to(self, rank: int) -> bool:
+        """Return whether grants here can be revoked for a tier."""
+        return any(
+            work.requests
+            for other, work in self._revocable.items()
+            if other > rank
+        )
+
+    def reserve(self, pending: Pending, limits: PoolLimits) -> None:
+        """Keep room for a request that waits for this target."""
+        self.reserved.add(charge(pending.cost_tokens, limits))
+
+    def fill(self, pending: Pending, limits: PoolLimits) -> float:
+        """Return how full the target gets once lower tiers have left it.
+
+        Returns:
+            The larger share of the two limits; above 1 does not fit.
+        """
+        firm = self._firm(pending.rank)
+        tokens = firm.tokens + self.reserved.tokens
+        tokens += charge(pending.cost_tokens, limits)
+        requests = firm.requests + self.reserved.requests + 1
+        return max(
+            requests / limits.outstanding_requests,
+            tokens / limits.outstanding_tokens,
+        )
+
+    def victims(self, pending: Pending, limits: PoolLimits) -> list[Held]:
+        """Return the lower-tier grants to revoke to make room.
+
+        The lowest tier comes first, in it the latest grant. The list is empty
+        if grants already on their way back make enough room, or if no
+        revocation can.
+        """
+        if self.fill(pending, limits) > 1:
+            return []
+        staying = Work(
+            self.outstanding.requests - self._revoked.requests,
+            self.outstanding.tokens - self._revoked.tokens,
+        )
+        chosen: list[Held] = []
+        for account in self._lower_first(pending.rank):
+            if self._fits(staying, pending, limits):
+                break
+            staying.remove(account.charge_tokens)
+            chosen.append(account.held)
+        return chosen
+
+    def _lower_first(self, rank: int) -> list[_Account]:
+        lower = (
+            a
+            for a in self._accounts.values()
+            if a.held.rank > rank and a.held.revocable
+        )
+        return sorted(
+            (a for a in lower if a.revoked_s is None),
+            key=lambda a: (-a.held.rank, -a.held.granted_s, a.held.id),
+        )
+
+    def _firm(self, rank: int) -> Work:
+        """Return the work that stays when lower tiers are revoked."""
+        firm = Work(
+            self.outstanding.requests - self._revoked.requests,
+            self.outstanding.tokens - self._revoked.tokens,
+        )
+        for other, work in self._revocable.items():
+            if other > rank:
+                firm.requests -= work.requests
+                firm.tokens -= work.tokens
+        return firm
+
+    def _fits(
+        self, present: Work, pending: Pending, limits: PoolLimits
+    ) -> bool:
+        requests = present.requests + self.reserved.requests + 1
+        tokens = present.tokens + self.reserved.tokens
+        tokens += charge(pending.cost_tokens, limits)
+        return (
+            requests <= limits.outstanding_requests
+            and tokens <= limits.outstanding_tokens
+        )
+
+
+def charge(cost_tokens: int, limits: PoolLimits) -> int:
+    """Return the tokens that a request counts for at a target."""
+    return min(cost_tokens, limits.outstanding_tokens)
