Hold grants under one arbiter for each pool, or a local share

The limit of a target has to hold over all instances, and a burst at one instance has to displace lower tiers that others hold. So each pool has one arbiter, which any instance becomes when peers connect to it for the pool.

An instance that connects says all that it holds and waits for, which replaces what the arbiter believed of it; the same message serves first connections, broken links and fresh arbiters. A fresh arbiter waits 0.5 s, or until all live instances have come, before it grants. While instances are missing it grants in proportion to those connected, for 30 s; the rest may still be granted elsewhere. Without a link an instance grants by itself half of its equal share, by the same rules.

Grants of a lost holder count until the live list drops it, a newer incarnation connects, or the deadlines of the requests pass. Ruled out: to forget them after a fixed time. Requests live as long as their deadlines, and an instance that is merely cut off still uses the targets.

Bound at a target, as tested: the limit for each arbiter, and for each restart of one, that granted within the life of what is held, plus the local shares (1 request for each instance with the limits of the test). With whole links to one arbiter the limit itself.

Only streams are revocable, since other answers do not poll the flag yet.

--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -5,6 +5,7 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
+from wigeonfall.model import target
 from wigeonfall.policy import admission
 from wigeonfall.policy import grants
 
@@ -21,7 +22,10 @@
 def make_pool(limits=LIMITS, targets=TARGETS):
     """Return an empty pool."""
     pool = admission.Pool(limits)
-    pool.configure(limits, targets)
+    pool.configure(
+        limits,
+        [target.Target(name, 's', 'dc', '', 0, 'v1') for name in targets],
+    )
     return pool
 
 
@@ -81,11 +85,16 @@
 
 
 def test_no_target():
-    """A request that excludes every target is told so."""
+    """A request that no target suits is told so."""
     pool = make_pool()
     pool.enqueue(make_pending('r', excluded_targets=frozenset(TARGETS)))
+    pool.enqueue(make_pending('v1', 2, version='v1'))
+    pool.enqueue(make_pending('v2', 3, version='v2'))
+    reason = grants.ShedReason.NO_TARGET
     assert pool.decide(0) == (
-        grants.Shed('r', 'i/1', grants.ShedReason.NO_TARGET),
+        grants.Shed('r', 'i/1', reason),
+        grants.Granted('v1', 'i/1', 'a'),
+        grants.Shed('v2', 'i/1', reason),
     )
 
 
@@ -95,7 +104,7 @@
     pool.pause(True)
     pool.enqueue(make_pending('r', cost_tokens=60))
     assert pool.decide(0) == ()
-    pool.hold(grants.Held('old', 'i/2', 'a', 1, 60, True, 0))
+    pool.hold(grants.Held('old', 'i/2', 'a', 1, 60, True, 0, 60))
     pool.pause(False)
     assert pool.decide(1) == ()
     pool.forget_held('i/2')
@@ -263,8 +272,8 @@
     @stateful.invariant()
     def limits_hold(self):
         """No target has more outstanding than its limits."""
-        for target in TARGETS:
-            requests, tokens = self._work(target)
+        for name in TARGETS:
+            requests, tokens = self._work(name)
             assert requests <= LIMITS.outstanding_requests
             assert tokens <= LIMITS.outstanding_tokens
 
--- /dev/null
+++ b/tests/serving/test_admission.py
@@ -0,0 +1,347 @@
+"""Tests of admission over links that break, lose and lag."""
+
+import threading
+import time
+
+import hypothesis
+from hypothesis import strategies
+from result import Ok
+
+from tests.fakes import arbitration
+from wigeonfall.model import refusal
+from wigeonfall.policy import grants
+from wigeonfall.serving import admission
+
+INSTANCES = 3
+NODE = strategies.integers(0, INSTANCES - 1)
+STEPS = strategies.lists(
+    strategies.one_of(
+        strategies.tuples(
+            strategies.just('submit'), NODE, strategies.integers(0, 3)
+        ),
+        strategies.tuples(
+            strategies.just('release'), NODE, strategies.integers(0, 5)
+        ),
+        strategies.tuples(
+            strategies.just('connect'), NODE, strategies.integers(0, 1)
+        ),
+        strategies.tuples(
+            strategies.just('disconnect'), NODE, strategies.booleans()
+        ),
+        strategies.tuples(
+            strategies.just('restart'),
+            strategies.integers(0, 1),
+            strategies.none(),
+        ),
+        strategies.tuples(strategies.just('deliver'), NODE, strategies.none()),
+        strategies.tuples(
+            strategies.just('tick'),
+            strategies.sampled_from([0.1, 0.6, 40.0]),
+            strategies.none(),
+        ),
+    ),
+    max_size=60,
+)
+
+
+class Run:
+    """Carries out steps and keeps its own books of grants and waits."""
+
+    def __init__(self, arbiters):
+        self.fleet = arbitration.Fleet(INSTANCES, arbiters)
+        self.arbiters = arbiters
+        self.waits = []
+        self.grants = [[] for _ in range(INSTANCES)]
+        self.granted_by = set()
+
+    def step(self, kind, subject, detail):
+        """Carry out one step."""
+        fleet = self.fleet
+        if kind == 'submit':
+            request = arbitration.make_request(
+                'r', detail, fleet.now_s + 50, fleet.now_s
+            )
+            node = fleet.nodes[subject]
+            wait = node.submit(request, frozenset(), fleet.now_s)
+            self.waits.append((subject, wait))
+        elif kind == 'release' and len(self.grants[subject]) > detail:
+            self.grants[subject].pop(detail).release()
+        elif kind == 'connect':
+            fleet.connect(subject, detail % self.arbiters)
+        elif kind == 'disconnect':
+            fleet.disconnect(subject, detail)
+        elif kind == 'restart':
+            fleet.restart(subject % self.arbiters)
+        elif kind == 'deliver':
+            fleet.deliver(subject)
+        elif kind == 'tick':
+            fleet.tick(subject)
+        self.collect()
+
+    def collect(self):
+        """Take the grants that waits ended in."""
+        left = []
+        for subject, wait in self.waits:
+            if wait.outcome is None:
+                left.append((subject, wait))
+            elif isinstance(wait.outcome, Ok):
+                self.grants[subject].append(wait.outcome.ok_value)
+        self.waits = left
+
+    def give_up(self):
+        """End all waits and release all grants, some still on their way."""
+        for node, wait in self.waits:
+            self.fleet.nodes[node].finish(wait, self.fleet.now_s)
+        self.waits = []
+        for held in self.grants:
+            while held:
+                held.pop().release()
+        self.fleet.settle()
+
+    def most_outstanding(self):
+        """Return the most requests held at one target."""
+        return max(
+            self.fleet.outstanding(each.name)[0]
+            for each in arbitration.TARGETS
+        )
+
+
+@hypothesis.given(STEPS)
+def test_one_arbiter_with_whole_links_keeps_the_limit(steps):
+    """As long as no link breaks, the limit is never exceeded."""
+    run = Run(1)
+    for node in range(INSTANCES):
+        run.fleet.connect(node, 0)
+    run.fleet.settle()
+    limit = arbitration.SERVICE.outstanding_requests
+    for kind, subject, detail in steps:
+        if kind in ('submit', 'release', 'deliver', 'tick'):
+            run.step(kind, subject, detail)
+            assert run.most_outstanding() <= limit
+    run.give_up()
+    for _ in range(2 * limit):
+        run.step('submit', 0, 0)
+    run.fleet.settle()
+    assert run.most_outstanding() == limit
+
+
+@hypothesis.settings(max_examples=300)
+@hypothesis.given(STEPS)
+def test_broken_links_and_fresh_arbiters_keep_the_stated_bound(steps):
+    """Each arbiter adds its limit at most, each cut instance its share.
+
+    Nothing is lost either: each wait ends, and each grant is given back.
+    """
+    run = Run(2)
+    arbiters = 2
+    limit = arbitration.SERVICE.outstanding_requests
+    for kind, subject, detail in steps:
+        arbiters += kind == 'restart'
+        run.step(kind, subject, detail)
+        assert run.most_outstanding() <= arbiters * limit + INSTANCES
+    run.fleet.tick(60)
+    run.fleet.settle()
+    run.collect()
+    for node, held in zip(run.fleet.nodes, run.grants):
+        assert len(node.held()) == len(held)
+    run.give_up()
+    assert run.most_outstanding() == 0
+
+
+def test_revocation_lost_with_its_link_is_decided_anew():
+    """A low-tier stream still yields after the link that said so broke."""
+    run = Run(1)
+    fleet = run.fleet
+    for node in range(INSTANCES):
+        fleet.connect(node, 0)
+    for _ in range(16):
+        run.step('submit', 1, 3)
+    fleet.settle()
+    run.collect()
+    assert len(run.grants[1]) == 16
+    run.step('submit', 0, 0)
+    fleet.deliver(0)
+    fleet.tick(0.3)
+    fleet.connect(1, 0)
+    fleet.settle()
+    fleet.tick(0.3)
+    fleet.settle()
+    assert sum(grant.revoked.is_set() for grant in run.grants[1]) == 1
+
+
+def test_fresh_arbiter_learns_what_is_held_before_it_grants():
+    """Grants of an arbiter that died count at the next one."""
+    run = Run(1)
+    fleet = run.fleet
+    for node in range(INSTANCES):
+        fleet.connect(node, 0)
+    for _ in range(20):
+        run.step('submit', 1, 1)
+    fleet.settle()
+    run.collect()
+    fleet.restart(0)
+    for node in (0, 1, 2):
+        fleet.connect(node, 0)
+        run.step('submit', 0, 0)
+        fleet.deliver(node)
+        run.collect()
+        assert run.most_outstanding() == 8
+    fleet.settle()
+    assert run.most_outstanding() == 8
+
+
+def test_waits_move_to_an_arbiter_with_its_missing_instances_in_mind():
+    """What waits locally is granted up to the share of those connected."""
+    run = Run(1)
+    fleet = run.fleet
+    for _ in range(7):
+        run.step('submit', 0, 1)
+    assert run.most_outstanding() == 1
+    for node in (0, 1):
+        fleet.connect(node, 0)
+    for _ in range(13):
+        run.step('submit', 1, 1)
+    fleet.settle()
+    assert run.most_outstanding() == 1
+    fleet.tick(0.6)
+    fleet.settle()
+    assert run.most_outstanding() == 8 * 2 // 3
+    fleet.tick(35)
+    fleet.settle()
+    assert run.most_outstanding() == 8
+
+
+def test_waits_that_moved_to_an_arbiter_do_not_come_back():
+    """What an arbiter granted no longer waits here when the link breaks."""
+    run = Run(1)
+    for _ in range(5):
+        run.step('submit', 0, 1)
+    run.fleet.connect(0, 0)
+    run.fleet.settle()
+    run.fleet.tick(0.6)
+    run.fleet.settle()
+    run.collect()
+    assert len(run.grants[0]) == 4
+    run.give_up()
+    run.fleet.disconnect(0, lose=True)
+    run.fleet.tick(0.6)
+    assert run.fleet.nodes[0].held() == ()
+
+
+def test_target_that_this_instance_may_not_use_is_given_back():
+    """A grant of a target that has left here leads to another one."""
+    fleet = arbitration.Fleet(1, 1, seen=arbitration.TARGETS[1:])
+    fleet.connect(0, 0)
+    request = arbitration.make_request('r', 0, 50)
+    wait = fleet.nodes[0].submit(request, frozenset(), 0)
+    fleet.settle()
+    assert wait.outcome.ok_value.target.name == 'b'
+    assert fleet.outstanding('a') == (0, 0)
+
+
+def test_replaced_link_has_no_say():
+    """Decisions and the end of an old link change nothing."""
+    fleet = arbitration.Fleet(1, 2)
+    fleet.connect(0, 0)
+    fleet.settle()
+    node = fleet.nodes[0]
+    request = arbitration.make_request('r', 0, 50)
+    wait = node.submit(request, frozenset(), 0)
+    old, _ = fleet.lines.pop(0)
+    fleet.connect(0, 1)
+    granted = grants.Granted(wait.pending.id, 'i0/1', 'a')
+    node.take(old.link, (granted,), 0)
+    node.detach(old.link, 0)
+    assert wait.outcome is None
+    fleet.settle()
+    assert isinstance(wait.outcome, Ok)
+
+
+def test_instance_that_is_gone_gives_its_grants_back():
+    """A replaced instance's grants count until the live list drops it."""
+    run = Run(1)
+    fleet = run.fleet
+    for node in range(INSTANCES):
+        fleet.connect(node, 0)
+    for _ in range(16):
+        run.step('submit', 1, 1)
+    fleet.settle()
+    fleet.disconnect(1, lose=True)
+    fleet.nodes[1] = fleet.nodes[2]
+    run.step('submit', 0, 0)
+    fleet.tick(1.0)
+    fleet.settle()
+    run.collect()
+    assert not run.grants[0]
+    fleet.live = (fleet.live[0], fleet.live[2])
+    fleet.tick(1.0)
+    fleet.settle()
+    run.collect()
+    assert len(run.grants[0]) == 1
+
+
+def test_grants_of_a_cut_instance_count_until_their_deadline():
+    """An instance that lives on without a link still uses the targets."""
+    run = Run(1)
+    fleet = run.fleet
+    for node in range(INSTANCES):
+        fleet.connect(node, 0)
+    for _ in range(16):
+        run.step('submit', 1, 1)
+    fleet.settle()
+    fleet.disconnect(1, lose=True)
+    fleet.tick(45)
+    run.step('submit', 0, 0)
+    fleet.settle()
+    fleet.tick(0.2)
+    fleet.settle()
+    run.collect()
+    assert not run.grants[0]
+    fleet.tick(10)
+    fleet.settle()
+    run.collect()
+    assert len(run.grants[0]) == 1
+
+
+def test_instance_alone_keeps_to_its_share_and_serves_high_tiers_first():
+    """Without an arbiter the local share holds and low tiers are refused."""
+    run = Run(1)
+    for _ in range(10):
+        run.step('submit', 0, 3)
+    assert run.most_outstanding() == 1
+    low = [wait for _, wait in run.waits]
+    for _ in range(9):
+        run.step('submit', 0, 0)
+    run.fleet.tick(0.3)
+    assert all(grant.revoked.is_set() for grant in run.grants[0])
+    for grant in run.grants[0]:
+        grant.release()
+    for wait in low:
+        assert wait.outcome.err_value.code is refusal.Code.OVERLOADED
+        assert wait.outcome.err_value.run is refusal.Run.NOT_RUN
+
+
+def test_acquire_blocks_until_room_or_deadline():
+    """A release lets the next caller in; the deadline ends a wait."""
+    fleet = arbitration.Fleet(1, 0)
+    both = admission.Admission(
+        fleet.live[0],
+        lambda _service, _now_s: arbitration.TARGETS[:1],
+        lambda: fleet.live,
+        arbitration.ignore,
+    )
+
+    def acquire(wait_s):
+        now_s = time.monotonic()
+        request = arbitration.make_request('r', 0, now_s + wait_s, now_s, 50)
+        return both.acquire(request, frozenset(), now_s)
+
+    first = acquire(30).ok_value
+    refused = acquire(0.05).err_value
+    assert refused.code is refusal.Code.DEADLINE_EXCEEDED
+    later = []
+    thread = threading.Thread(target=lambda: later.append(acquire(30)))
+    thread.start()
+    first.release()
+    thread.join()
+    assert later[0].ok_value.target.name == 'a'
--- a/wigeonfall/events.py
+++ b/wigeonfall/events.py
@@ -27,6 +27,11 @@
     ORDER_CLAIMED = (301, logging.INFO, 'order claimed')
 
     REQUEST_QUEUED = (401, logging.DEBUG, 'request queued')
+    ARBITER_CONNECTED = (402, logging.INFO, 'arbiter connected')
+    ARBITER_LOST = (403, logging.WARNING, 'arbiter lost')
+    GRANT_REVOKED = (404, logging.INFO, 'grant revoked')
+    ARBITRATION_BEGUN = (405, logging.INFO, 'arbitration of a pool begun')
+    GRANTS_RECLAIMED = (406, logging.WARNING, 'grants of a holder reclaimed')
 
     CONFIGURATION_IN_FORCE = (501, logging.INFO, 'configuration in force')
 
--- a/wigeonfall/policy/admission.py
+++ b/wigeonfall/policy/admission.py
@@ -15,6 +15,7 @@
 from typing import TypeAlias
 
 from . import affinity
+from ..model.target import Target
 from .fair_queue import FairQueue
 from .grants import Decision
 from .grants import Granted
@@ -41,6 +42,20 @@
     return pending.arrived_s + min(PREEMPTION_WAIT_S, wait_s)
 
 
+def held_of(pending: Pending, target: str, now_s: float) -> Held:
+    """Return the grant that ends a wait."""
+    return Held(
+        pending.id,
+        pending.holder,
+        target,
+        pending.rank,
+        pending.cost_tokens,
+        pending.revocable,
+        now_s,
+        pending.deadline_s,
+    )
+
+
 class Pool:
     """The waiting requests and the grants of one pool.
 
@@ -76,14 +91,15 @@
         """Return the grants that are not released."""
         return tuple(self._held.values())
 
-    def configure(self, limits: PoolLimits, targets: Iterable[str]) -> None:
-        """Set the limits and the names of the targets that take new work."""
+    def configure(self, limits: PoolLimits, targets: Iterable[Target]) -> None:
+        """Set the limits and the targets that take new work."""
         self._limits = limits
-        names = set(targets)
-        for name in names - self._targets.keys():
+        versions = {target.name: target.version for target in targets}
+        for name in versions.keys() - self._targets.keys():
             self._targets[name] = TargetAccount(name)
         for name, account in tuple(self._targets.items()):
-            account.live = name in names
+            account.live = name in versions
+            account.version = versions.get(name, '')
             if not account.live and not account.outstanding.requests:
                 del self._targets[name]
 
@@ -143,6 +159,12 @@
             if held.holder == holder:
                 self.release(held.id)
 
+    def forget_expired(self, holder: str, now_s: float) -> None:
+        """Drop the grants of a holder whose requests have ended by now."""
+        for held in self.held():
+            if held.holder == holder and held.deadline_s <= now_s:
+                self.release(held.id)
+
     def decide(self, now_s: float) -> tuple[Decision, ...]:
         """Return what is decided now; the state has changed accordingly.
 
@@ -180,9 +202,7 @@
             for scanned, pending in enumerate(self._queues[rank].scan()):
                 if scanned >= SCAN_REQUESTS or self._stuck(rank, live):
                     break
-                eligible = [
-                    a for a in live if a.name not in pending.excluded_targets
-                ]
+                eligible = [a for a in live if a.suits(pending)]
                 if not eligible:
                     self._queues[rank].remove(pending.id)
                     yield Shed(
@@ -216,17 +236,7 @@
         ]
         target = self._choose(pending, loads, now_s)
         self._queues[pending.rank].take(pending)
-        self.hold(
-            Held(
-                pending.id,
-                pending.holder,
-                target,
-                pending.rank,
-                pending.cost_tokens,
-                pending.revocable,
-                now_s,
-            )
-        )
+        self.hold(held_of(pending, target, now_s))
         return Granted(pending.id, pending.holder, target)
 
     def _reserve(
--- a/wigeonfall/policy/grants.py
+++ b/wigeonfall/policy/grants.py
@@ -22,6 +22,7 @@
         revocable: whether a grant may be revoked after dispatch.
         prefix_hash: hash of the leading block of the prompt, or 0.
         excluded_targets: names of targets that must not be chosen.
+        version: version that the target must serve, or '' for any.
     """
 
     id: str
@@ -35,6 +36,7 @@
     revocable: bool
     prefix_hash: int = 0
     excluded_targets: frozenset[str] = frozenset()
+    version: str = ''
 
 
 @attrs.frozen
@@ -49,6 +51,7 @@
         cost_tokens: tokens that it keeps the target busy with.
         revocable: whether it may be revoked.
         granted_s: when it was granted.
+        deadline_s: when the request has ended in any case.
     """
 
     id: str
@@ -58,6 +61,7 @@
     cost_tokens: int
     revocable: bool
     granted_s: float
+    deadline_s: float
 
 
 class ShedReason(enum.Enum):
--- a/wigeonfall/policy/target_account.py
+++ b/wigeonfall/policy/target_account.py
@@ -38,6 +38,7 @@
     Attributes:
         name: name of the target.
         live: whether new work may be sent to it.
+        version: version that it serves.
         outstanding: work of all grants that are not released.
         reserved: work that waits for this target in the present decision.
     """
@@ -45,6 +46,7 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self.live = True
+        self.version = ''
         self.outstanding = Work()
         self.reserved = Work()
         self._accounts: dict[str, _Account] = {}
@@ -87,6 +89,13 @@
             if a.revoked_s is not None and a.revoked_s <= time_s
         ]
 
+    def suits(self, pending: Pending) -> bool:
+        """Return whether a request may be sent to the target at all."""
+        return (
+            self.name not in pending.excluded_targets
+            and pending.version in ('', self.version)
+        )
+
     def has_room(self, pending: Pending, limits: PoolLimits) -> bool:
         """Return whether a request can be sent to the target now."""
         return self._fits(self.outstanding, pending, limits)
--- /dev/null
+++ b/wigeonfall/serving/arbiter.py
@@ -0,0 +1,244 @@
+"""Arbitration: this instance decides for the pools that others ask it about.
+
+Any instance arbitrates a pool once a peer connects to it for that pool; which
+one that should be is the peers' choice. A new arbiter first waits for the
+instances to say what they hold.
+"""
+
+from collections.abc import Callable
+
+import attrs
+
+from ..events import Event
+from ..model.instance import Instance
+from ..model.service import Service
+from ..model.target import Target
+from ..policy import admission
+from ..policy.grants import Decision
+from ..policy.grants import Held
+from ..policy.grants import Pending
+from ..policy import shares
+from ..recorder import Record
+from .admission import holder_of
+from .admission import LiveInstances
+from .admission import name_of
+from .local_admission import LiveTargets
+
+LEARNING_S = 0.5
+MISSING_GRACE_S = 30.0
+
+Deliver = Callable[[tuple[Decision, ...]], None]
+ServiceOf = Callable[[str], Service | None]
+
+
+@attrs.define(eq=False)
+class Session:
+    """One connection of an instance to the arbiter of a pool.
+
+    Attributes:
+        pool: name of the pool.
+        instance: the instance that connected.
+        deliver: sends decisions to it without blocking.
+    """
+
+    pool: str
+    instance: Instance
+    deliver: Deliver
+
+    @property
+    def holder(self) -> str:
+        """The name under which the instance holds grants."""
+        return holder_of(self.instance)
+
+
+def _replaces(new: Instance, old: Instance) -> bool:
+    return new.name == old.name and new.incarnation > old.incarnation
+
+
+class PoolArbiter:
+    """The arbiter of one pool.
+
+    Args:
+        service: the service whose targets make up the pool.
+        now_s: present time on the monotonic clock.
+    """
+
+    def __init__(self, service: Service, now_s: float) -> None:
+        self.pool = admission.Pool(shares.pool_limits(service, 1))
+        self.pool.pause(True)
+        self.sessions: dict[str, Session] = {}
+        self._began_s = now_s
+        self._lost_s: dict[str, float] = {}
+
+    def connect(
+        self,
+        session: Session,
+        held: tuple[Held, ...],
+        waiting: tuple[Pending, ...],
+        now_s: float,
+    ) -> None:
+        """Take an instance's own account of its grants and waits."""
+        holder = session.holder
+        for other in tuple(self.sessions.values()):
+            if _replaces(session.instance, other.instance):
+                self.disconnect(other, now_s)
+        self.sessions[holder] = session
+        self._lost_s.pop(holder, None)
+        self.pool.forget_waiting(holder)
+        self.pool.forget_held(holder)
+        for item in held:
+            self.pool.hold(item)
+        for pending in waiting:
+            self.pool.enqueue(pending)
+
+    def disconnect(self, session: Session, now_s: float) -> None:
+        """Drop the waits of a lost connection; its grants still count."""
+        if self.sessions.get(session.holder) is session:
+            del self.sessions[session.holder]
+            self._lost_s[session.holder] = now_s
+            self.pool.forget_waiting(session.holder)
+
+    def reclaim(self, live: tuple[Instance, ...], now_s: float) -> list[str]:
+        """Drop the grants of instances that are gone.
+
+        Those of an instance that is merely cut off count until the deadlines
+        of their requests.
+
+        Args:
+            live: instances that may be serving.
+            now_s: present time on the monotonic clock.
+
+        Returns:
+            The holders whose grants were dropped.
+        """
+        listed = {holder_of(instance) for instance in live}
+        connected = {s.instance.name for s in self.sessions.values()}
+        gone = [
+            holder
+            for holder in self._lost_s
+            if holder not in listed or name_of(holder) in connected
+        ]
+        for holder in gone:
+            del self._lost_s[holder]
+            self.pool.forget_held(holder)
+        for holder in self._lost_s:
+            self.pool.forget_expired(holder, now_s)
+        return gone
+
+    def configure(
+        self,
+        service: Service,
+        targets: tuple[Target, ...],
+        live: tuple[Instance, ...],
+        now_s: float,
+    ) -> None:
+        """Set limits by who is connected; end the learning when all are."""
+        missing = self._missing(live, now_s)
+        connected = len(self.sessions)
+        limits = shares.pool_limits(service, connected + missing)
+        self.pool.configure(
+            shares.connected_share(limits, connected, missing), targets
+        )
+        learnt = not missing or now_s >= self._began_s + LEARNING_S
+        self.pool.pause(not learnt)
+
+    def _missing(self, live: tuple[Instance, ...], now_s: float) -> int:
+        """Return how many instances may be granted targets elsewhere."""
+        absent = {holder_of(i) for i in live} - self.sessions.keys()
+        return sum(
+            now_s < self._lost_s.get(holder, self._began_s) + MISSING_GRACE_S
+            for holder in absent
+        )
+
+
+class Arbiters:
+    """The pools that this instance arbitrates; used by one thread alone.
+
+    Args:
+        service_of: returns a service by name, or None.
+        live_targets: returns the ready targets of a service.
+        live_instances: returns the instances that may be serving.
+        record: records events.
+    """
+
+    def __init__(
+        self,
+        service_of: ServiceOf,
+        live_targets: LiveTargets,
+        live_instances: LiveInstances,
+        record: Record,
+    ) -> None:
+        self._service_of = service_of
+        self._live_targets = live_targets
+        self._live_instances = live_instances
+        self._record = record
+        self._pools: dict[str, PoolArbiter] = {}
+
+    def connect(
+        self,
+        session: Session,
+        held: tuple[Held, ...],
+        waiting: tuple[Pending, ...],
+        now_s: float,
+    ) -> bool:
+        """Begin a session; return False if the pool is unknown here."""
+        service = self._service_of(session.pool)
+        if service is None:
+            return False
+        arbiter = self._pools.get(session.pool)
+        if arbiter is None:
+            arbiter = PoolArbiter(service, now_s)
+            self._pools[session.pool] = arbiter
+            self._record(Event.ARBITRATION_BEGUN, pool=session.pool)
+        arbiter.connect(session, held, waiting, now_s)
+        self._decide(session.pool, now_s)
+        return True
+
+    def receive(
+        self,
+        session: Session,
+        waiting: tuple[Pending, ...],
+        done: tuple[str, ...],
+        now_s: float,
+    ) -> None:
+        """Take new waits and ended waits and grants of an instance."""
+        arbiter = self._pools.get(session.pool)
+        if arbiter is None or arbiter.sessions.get(session.holder) != session:
+            return
+        for pending in waiting:
+            arbiter.pool.enqueue(pending)
+        for wait_id in done:
+            arbiter.pool.cancel(wait_id)
+        self._decide(session.pool, now_s)
+
+    def disconnect(self, session: Session, now_s: float) -> None:
+        """End a session."""
+        arbiter = self._pools.get(session.pool)
+        if arbiter is not None:
+            arbiter.disconnect(session, now_s)
+
+    def tick(self, now_s: float) -> None:
+        """Decide what time alone brings about; drop pools without use."""
+        live = self._live_instances()
+        for name, arbiter in tuple(self._pools.items()):
+            for holder in arbiter.reclaim(live, now_s):
+                self._record(Event.GRANTS_RECLAIMED, pool=name, holder=holder)
+            if not arbiter.sessions:
+                del self._pools[name]
+                continue
+            self._decide(name, now_s)
+
+    def _decide(self, name: str, now_s: float) -> None:
+        arbiter = self._pools[name]
+        service = self._service_of(name)
+        if service is None:
+            return
+        targets = self._live_targets(name, now_s)
+        arbiter.configure(service, targets, self._live_instances(), now_s)
+        batches: dict[str, list[Decision]] = {}
+        for decision in arbiter.pool.decide(now_s):
+            batches.setdefault(decision.holder, []).append(decision)
+        for holder, batch in batches.items():
+            session = arbiter.sessions.get(holder)
+            if session is not None:
+                session.deliver(tuple(batch))
