--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -46,6 +46,7 @@
         services: plain services.
         platform_options: options of the platform, by name.
         settings: changes to the settings of all instances, by section.
+        base: changes to the base configuration, by section.
     """
 
     example: str
@@ -54,6 +55,7 @@
     services: tuple[TargetPlan, ...] = ()
     platform_options: dict[str, Any] = attrs.field(factory=dict)
     settings: dict[str, dict[str, str]] = attrs.field(factory=dict)
+    base: dict[str, dict[str, str]] = attrs.field(factory=dict)
 
 
 @attrs.define
@@ -201,6 +203,7 @@
     def _place_instances(self) -> None:
         source = EXAMPLES / self.plan.example
         shutil.copytree(source, self.directory, dirs_exist_ok=True)
+        _change(self.directory / 'base.ini', self.plan.base)
         placed = [
             (data_center, name)
             for data_center, names in self.plan.instances.items()
@@ -282,6 +285,15 @@
         )
 
 
+def _change(path: pathlib.Path, changes: dict[str, dict[str, str]]) -> None:
+    parser = configparser.ConfigParser(interpolation=None)
+    parser.read(path)
+    for section, values in changes.items():
+        parser.read_dict({section: values})
+    with path.open('w') as file:
+        parser.write(file)
+
+
 def _options(values: dict[str, Any]) -> list[str]:
     options = []
     for name, value in values.items():
--- a/wigeonfall/adapters/targets.py
+++ b/wigeonfall/adapters/targets.py
@@ -119,10 +119,8 @@
             attempt.path,
             body=attempt.body or None,
             headers=_headers(attempt),
-            preload_content=False,
-            decode_content=False,
         )
-        response = connection.getresponse()
+        response = http.client.HTTPConnection.getresponse(connection)
         sock.settimeout(attempt.between_bytes_timeout_s)
     except _TRANSPORT_ERRORS as error:
         connection.close()
@@ -148,7 +146,7 @@
 
 
 def _refusal(
-    response: urllib3.BaseHTTPResponse, attempt: Attempt
+    response: http.client.HTTPResponse, attempt: Attempt
 ) -> AttemptError | None:
     echoed = response.headers.get(ATTEMPT_HEADER)
     if echoed != attempt.id:
@@ -172,20 +170,20 @@
 def _answer(
     idle: _Idle,
     connection: _Connection,
-    response: urllib3.HTTPResponse,
+    response: http.client.HTTPResponse,
     attempt: Attempt,
 ) -> TargetAnswer:
     whole = threading.Event()
     return TargetAnswer(
         status=response.status,
-        headers=tuple(response.headers.items()),
+        headers=tuple(response.getheaders()),
         read=_reader(response, whole),
         close=_closer(idle, connection, response, attempt, whole),
     )
 
 
 def _reader(
-    response: urllib3.HTTPResponse, whole: threading.Event
+    response: http.client.HTTPResponse, whole: threading.Event
 ) -> Callable[[], bytes]:
     def read() -> bytes:
         try:
@@ -194,8 +192,8 @@
             raise AttemptFailed(_transport_error(error)) from error
         if chunk:
             return chunk
-        if response.length_remaining:
-            message = f'{response.length_remaining} bytes missing'
+        if response.length:
+            message = f'{response.length} bytes missing'
             raise AttemptFailed(AttemptError(AttemptErrorKind.BROKEN, message))
         whole.set()
         return b''
@@ -206,7 +204,7 @@
 def _closer(
     idle: _Idle,
     connection: _Connection,
-    response: urllib3.HTTPResponse,
+    response: http.client.HTTPResponse,
     attempt: Attempt,
     whole: threading.Event,
 ) -> Callable[[], None]:
