Tell callers who gave up from broken answers, count all first tokens

First-token and between-token times were taken from good answers alone, which hides the slow ones; they now come from all answers.

--- a/bench/caller.py
+++ b/bench/caller.py
@@ -11,6 +11,8 @@
 from .arrivals import Arrival
 
 GRACE_S = 3.0
+GAVE_UP = 'gave up'
+NOT_CONNECTED = 'not connected'
 LAG_PERIOD_S = 0.05
 
 
@@ -51,6 +53,12 @@
             and self.took_s <= self.arrival.deadline_s
         )
 
+    @property
+    def broken(self) -> bool:
+        """Whether an answer ended unlike its head promised, unexplained."""
+        ours = self.fault in ('', GAVE_UP, NOT_CONNECTED)
+        return self.status == 200 and not ours and not self.code
+
 
 # Gives the address for a try and what to call once the call is over.
 Choose = Callable[[Arrival, int], tuple[str, Callable[[], None]]]
@@ -100,11 +108,11 @@
             async with asyncio.timeout(arrival.deadline_s + GRACE_S):
                 await self._try(outcome, started_s)
         except http_client.NotConnected:
-            outcome.fault = 'not-connected'
+            outcome.fault = NOT_CONNECTED
+        except TimeoutError:  # a kind of OSError, so it goes before that
+            outcome.fault = GAVE_UP
         except (http_client.AnswerBroken, OSError, ValueError) as error:
             outcome.fault = f'broken: {type(error).__name__}'
-        except TimeoutError:
-            outcome.fault = 'no end'
         finally:
             self.waiting -= 1
         outcome.took_s = time.monotonic() - started_s
--- a/bench/summary.py
+++ b/bench/summary.py
@@ -75,8 +75,8 @@
 
 def _figures(outcomes: list[Outcome]) -> dict[str, Any]:
     good = [outcome for outcome in outcomes if outcome.good]
-    firsts = [o.first_token_s for o in good if o.first_token_s >= 0]
-    gaps = [gap_s for o in good for gap_s in o.gaps_s]
+    firsts = [o.first_token_s for o in outcomes if o.first_token_s >= 0]
+    gaps = [gap_s for o in outcomes for gap_s in o.gaps_s]
     ends = collections.Counter(_end(outcome) for outcome in outcomes)
     return {
         'offered': len(outcomes),
@@ -187,11 +187,7 @@
         for o in outcomes
         if o.run == 'not-run' and runs[o.arrival.id]
     ]
-    broken = [
-        o.arrival.id
-        for o in outcomes
-        if o.status == 200 and o.fault and not o.code
-    ]
+    broken = [o.arrival.id for o in outcomes if o.broken]
     return {
         'orders_run_again': sum(n - 1 for n in by_key.values() if n > 1),
         'not_run_but_ran': len(untrue),
