--- a/bench/load.py
+++ b/bench/load.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import subprocess
 import sys
 import tempfile
 import time
@@ -217,6 +218,7 @@
         'command': 'python -m bench.load ' + ' '.join(sys.argv[1:]),
         'case': attrs.asdict(case),
         'started': datetime.datetime.now(datetime.UTC).isoformat(),
+        'commit': _commit(),
         'machine': _machine(),
         'placements': {},
     }
@@ -229,6 +231,16 @@
     report.show(result)
 
 
+def _commit() -> str:
+    return subprocess.run(
+        ('git', 'describe', '--always', '--dirty'),
+        cwd=RESULTS.parent,
+        capture_output=True,
+        text=True,
+        check=False,
+    ).stdout.strip()
+
+
 def _machine() -> dict[str, Any]:
     return {
         'cores': os.cpu_count(),
