--- a/bench/caller.py
+++ b/bench/caller.py
@@ -11,6 +11,7 @@
 from .arrivals import Arrival
 
 GRACE_S = 3.0
+CUT = 'cut'
 GAVE_UP = 'gave up'
 NOT_CONNECTED = 'not connected'
 LAG_PERIOD_S = 0.05
@@ -54,10 +55,15 @@
         )
 
     @property
-    def broken(self) -> bool:
-        """Whether an answer ended unlike its head promised, unexplained."""
-        ours = self.fault in ('', GAVE_UP, NOT_CONNECTED)
-        return self.status == 200 and not ours and not self.code
+    def cut(self) -> bool:
+        """Whether the connection broke off, which the caller can see."""
+        return self.fault.startswith(CUT)
+
+    @property
+    def false(self) -> bool:
+        """Whether an answer passed for whole that was not its own whole."""
+        seen = self.fault in ('', GAVE_UP, NOT_CONNECTED) or self.cut
+        return self.status == 200 and not seen and not self.code
 
 
 # Gives the address for a try and what to call once the call is over.
@@ -112,7 +118,7 @@
         except TimeoutError:  # a kind of OSError, so it goes before that
             outcome.fault = GAVE_UP
         except (http_client.AnswerBroken, OSError, ValueError) as error:
-            outcome.fault = f'broken: {type(error).__name__}'
+            outcome.fault = f'{CUT}: {type(error).__name__}'
         finally:
             self.waiting -= 1
         outcome.took_s = time.monotonic() - started_s
