--- a/bench/load.py
+++ b/bench/load.py
@@ -7,10 +7,10 @@
 import asyncio
 from collections.abc import Callable
 import datetime
-import itertools
 import json
 import os
 import pathlib
+import subprocess
 import sys
 import tempfile
 import time
@@ -24,6 +24,7 @@
 from tests.fakes import processes
 
 from . import arrivals as arrivals_module
+from . import balancer
 from . import baselines
 from . import faults as faults_module
 from . import mixes
@@ -155,7 +156,9 @@
     mix: str, placement: str, fleet: fleet_module.Fleet
 ) -> tuple[Choose, Callable[[], None]]:
     if placement == 'wigeonfall':
-        return _through_instances(fleet), lambda: None
+        before_instances = balancer.Balancer(fleet)
+        before_instances.start()
+        return before_instances.choose, before_instances.stopped.set
     places = tuple(
         baselines.Place(target.plan.service, target.address)
         for target in fleet.targets.values()
@@ -171,15 +174,6 @@
     return choose, reports.stopped.set
 
 
-def _through_instances(fleet: fleet_module.Fleet) -> Choose:
-    turns = itertools.cycle(list(fleet.instances))
-
-    def choose(_: Arrival, __: int) -> tuple[str, Callable[[], None]]:
-        return fleet.instances[next(turns)].callers_address, lambda: None
-
-    return choose
-
-
 def _usages(fleet: fleet_module.Fleet) -> dict[str, processes.Usage]:
     usages = {}
     for name, instance in fleet.instances.items():
@@ -217,6 +211,7 @@
         'command': 'python -m bench.load ' + ' '.join(sys.argv[1:]),
         'case': attrs.asdict(case),
         'started': datetime.datetime.now(datetime.UTC).isoformat(),
+        'commit': _commit(),
         'machine': _machine(),
         'placements': {},
     }
@@ -229,6 +224,16 @@
     report.show(result)
 
 
+def _commit() -> str:
+    return subprocess.run(
+        ('git', 'describe', '--always', '--dirty'),
+        cwd=RESULTS.parent,
+        capture_output=True,
+        text=True,
+        check=False,
+    ).stdout.strip()
+
+
 def _machine() -> dict[str, Any]:
     return {
         'cores': os.cpu_count(),
