Claim orders in a ledger of slices, and send them once

Cause: an order that is repeated through another instance, or whose answer was lost, must not run twice, and a refusal must say truly whether it ran.

Ruled out: one object for each order (two writes an order at the platform); xxhash for keys (callers choose the keys, and a collision would hand one customer another's answer; it only chooses slices and owners); forgetting keys after a window (a repeat after it would run again).

Change: claims and outcomes are idempotent changes of a slice, which one conditional update commits together. Only the thread that was granted a claim sends. Entries move from the slice to pages, first with answers, later as fingerprints. Retry budgets by customer and service.

--- a/wigeonfall/events.py
+++ b/wigeonfall/events.py
@@ -24,6 +24,15 @@
     ANSWER_DISCARDED = (205, logging.WARNING, 'answer of another attempt')
 
     ORDER_CLAIMED = (301, logging.INFO, 'order claimed')
+    ORDER_DONE = (302, logging.INFO, 'order done')
+    ORDER_RELEASED = (303, logging.INFO, 'claim of order released')
+    ORDER_IN_DOUBT = (304, logging.WARNING, 'outcome of order unknown')
+    ORDER_REPEATED = (305, logging.INFO, 'repeat of order')
+    CLAIM_FAILED = (306, logging.WARNING, 'claim of order failed')
+    OUTCOME_NOT_RECORDED = (307, logging.WARNING, 'outcome not recorded yet')
+    SLICE_NOT_WRITTEN = (308, logging.INFO, 'slice of the ledger not written')
+    SLICE_COMPACTED = (309, logging.INFO, 'slice of the ledger compacted')
+    SLICE_OWNER_UNREACHABLE = (310, logging.WARNING, 'slice owner unreachable')
 
     REQUEST_QUEUED = (401, logging.DEBUG, 'request queued')
 
--- /dev/null
+++ b/wigeonfall/policy/ledger.py
@@ -0,0 +1,213 @@
+"""Decides claims on orders over one slice of the ledger.
+
+Safety rests on three rules. A key is granted only if its entry is missing or
+released. An entry is released only by the holder of its claim, who then never
+dispatches. An entry that may have been dispatched is forgotten only if the
+slice refuses its key from then on.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import hashlib
+import uuid
+
+import attrs
+import xxhash
+
+from ..model import order
+from ..model.order import OrderState
+from ..model.order import Verdict
+
+KEY_DIGEST_BYTES = 16
+KEY_TIME_AHEAD_S = 300.0
+
+IsRemembered = Callable[[str], bool]
+
+
+def key_digest(customer: str, key: str) -> str:
+    """Return the digest under which a customer's key is kept."""
+    return _digest(customer.encode(), key.encode())
+
+
+def request_digest(service: str, method: str, path: str, body: bytes) -> str:
+    """Return the digest that tells a request from another."""
+    return _digest(service.encode(), method.encode(), path.encode(), body)
+
+
+def slice_number(key: str, slices: int) -> int:
+    """Return the number of the slice that a key digest belongs to."""
+    return xxhash.xxh3_64_intdigest(key.encode()) % slices
+
+
+def key_time_unix_s(key: str, now_unix_s: float) -> float:
+    """Return the time that a caller's key carries.
+
+    Args:
+        key: the key as the caller gave it.
+        now_unix_s: present time in seconds since the epoch.
+
+    Returns:
+        The time in a version 7 UUID, or 0 if the key carries none or one
+        that lies ahead.
+    """
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return 0.0
+    if parsed.version != 7:
+        return 0.0
+    carried_s = (parsed.int >> 80) / 1000
+    if carried_s > now_unix_s + KEY_TIME_AHEAD_S:
+        return 0.0
+    return carried_s
+
+
+def owner(slice_name: str, instances: Iterable[str]) -> str | None:
+    """Return the instance that writes a slice, by rendezvous hash."""
+    return max(
+        instances,
+        key=lambda name: (_weight(name, slice_name), name),
+        default=None,
+    )
+
+
+def _weight(instance: str, slice_name: str) -> int:
+    return xxhash.xxh3_64_intdigest(f'{instance}/{slice_name}'.encode())
+
+
+def decide(
+    current: order.Slice,
+    change: order.Change,
+    is_remembered: IsRemembered,
+    is_full: bool,
+    now_unix_s: float,
+) -> tuple[order.Slice, order.Decision]:
+    """Decide one change of a slice.
+
+    A change that is repeated after it took effect gets the same decision and
+    changes nothing.
+
+    Args:
+        current: the slice before the change.
+        change: the claim or outcome.
+        is_remembered: whether a page of the slice holds a key digest.
+        is_full: whether the slice has no room for another entry.
+        now_unix_s: present time in seconds since the epoch.
+
+    Returns:
+        The slice after the change, which is the same object if nothing
+        changed, and the decision.
+    """
+    if isinstance(change, order.Claim):
+        return _decide_claim(
+            current, change, is_remembered, is_full, now_unix_s
+        )
+    return _decide_outcome(current, change, is_remembered, now_unix_s)
+
+
+def _decide_claim(
+    current: order.Slice,
+    claim: order.Claim,
+    is_remembered: IsRemembered,
+    is_full: bool,
+    now_unix_s: float,
+) -> tuple[order.Slice, order.Decision]:
+    entry = current.entries.get(claim.key)
+    if entry is not None and entry.request != claim.request:
+        return current, order.Decision(Verdict.KEY_REUSED)
+    if entry is not None and entry.claim == claim.claim:
+        return current, _decide_own(entry)
+    if entry is not None and entry.state is not OrderState.RELEASED:
+        return current, decide_repeat(entry)
+    if entry is None and _is_forgotten(current, claim, is_remembered):
+        return current, order.Decision(Verdict.KEY_EXPIRED)
+    if now_unix_s > claim.deadline_unix_s:
+        return current, order.Decision(Verdict.ABANDONED)
+    if entry is None and is_full:
+        return current, order.Decision(Verdict.FULL)
+    granted = _entry(claim, OrderState.CLAIMED, now_unix_s)
+    return (
+        with_entry(current, claim.key, granted),
+        order.Decision(Verdict.GRANTED),
+    )
+
+
+def _decide_own(entry: order.Entry) -> order.Decision:
+    if entry.state is OrderState.CLAIMED:
+        return order.Decision(Verdict.GRANTED)
+    if entry.state is OrderState.RELEASED:
+        return order.Decision(Verdict.ABANDONED)
+    return decide_repeat(entry)
+
+
+def decide_repeat(entry: order.Entry) -> order.Decision:
+    """Return what a repeat of a key gets whose order may have run."""
+    if entry.state is OrderState.DONE:
+        return order.Decision(Verdict.DONE, entry.answer)
+    if entry.state is OrderState.IN_DOUBT:
+        return order.Decision(Verdict.IN_DOUBT)
+    return order.Decision(
+        Verdict.CLAIMED, deadline_unix_s=entry.deadline_unix_s
+    )
+
+
+def _decide_outcome(
+    current: order.Slice,
+    change: order.Settle,
+    is_remembered: IsRemembered,
+    now_unix_s: float,
+) -> tuple[order.Slice, order.Decision]:
+    claim = change.claim
+    recorded = order.Decision(Verdict.RECORDED)
+    entry = current.entries.get(claim.key)
+    if entry is None:
+        if change.state is not OrderState.RELEASED:
+            return current, recorded
+        if _is_forgotten(current, claim, is_remembered):
+            return current, recorded
+        # The mark keeps a claim that is still under way from taking effect.
+    elif entry.claim != claim.claim or entry.state is not OrderState.CLAIMED:
+        return current, recorded
+    settled = _entry(claim, change.state, now_unix_s, change.answer)
+    return with_entry(current, claim.key, settled), recorded
+
+
+def _is_forgotten(
+    current: order.Slice, claim: order.Claim, is_remembered: IsRemembered
+) -> bool:
+    if claim.key_unix_s and claim.key_unix_s <= current.forgotten_unix_s:
+        return True
+    return is_remembered(claim.key)
+
+
+def _entry(
+    claim: order.Claim,
+    state: OrderState,
+    now_unix_s: float,
+    answer: order.WholeAnswer | None = None,
+) -> order.Entry:
+    return order.Entry(
+        request=claim.request,
+        claim=claim.claim,
+        instance=claim.instance,
+        state=state,
+        changed_unix_s=now_unix_s,
+        deadline_unix_s=claim.deadline_unix_s,
+        key_unix_s=claim.key_unix_s,
+        answer=answer,
+    )
+
+
+def with_entry(
+    current: order.Slice, key: str, entry: order.Entry
+) -> order.Slice:
+    """Return a slice with one entry set."""
+    return attrs.evolve(current, entries={**current.entries, key: entry})
+
+
+def _digest(*parts: bytes) -> str:
+    digest = hashlib.blake2b(digest_size=KEY_DIGEST_BYTES)
+    for part in parts:
+        digest.update(len(part).to_bytes(8, 'big'))
+        digest.update(part)
+    return digest.hexdigest()
--- /dev/null
+++ b/wigeonfall/policy/retention.py
@@ -0,0 +1,257 @@
+"""Decides how long the ledger keeps orders, and in which objects.
+
+Entries leave a slice's own object for pages, which never change. Pages first
+hold the entries with their answers, later only fingerprints of the keys.
+Fingerprints of keys that carry a time go when that time is long past: the
+slice then refuses all keys up to that time. Fingerprints of other keys stay.
+"""
+
+import array
+import bisect
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+import attrs
+
+from ..model import order
+from ..model.order import OrderState
+
+COMPACT_BYTES = 96 * 1024
+SLICE_BYTES = 768 * 1024
+ANSWER_BYTES = 4 * 1024
+ENTRY_BYTES = 400
+PAGE_KEYS = 40_000
+SLICE_PAGES = 1_000
+
+ANSWER_WINDOW_S = 3600.0
+KEY_WINDOW_S = 24 * 3600.0
+RELEASED_WINDOW_S = 120.0
+CLAIMED_WINDOW_S = 600.0
+
+FINGERPRINT_HEX_DIGITS = 16
+
+Fingerprints = array.array
+
+
+@attrs.frozen
+class PageContent:
+    """What a page holds: entries by key digest, or sorted fingerprints."""
+
+    entries: Mapping[str, order.Entry] = attrs.field(factory=dict)
+    fingerprints: tuple[int, ...] = ()
+
+
+@attrs.frozen
+class Compaction:
+    """A smaller form of a slice.
+
+    Attributes:
+        slice: the slice to write once the new pages exist.
+        created: contents of the new pages, by name.
+        obsolete: names of pages that the new slice does without.
+    """
+
+    slice: order.Slice
+    created: Mapping[str, PageContent]
+    obsolete: tuple[str, ...]
+
+
+def fingerprint(key: str) -> int:
+    """Return the fingerprint of a key digest."""
+    return int(key[:FINGERPRINT_HEX_DIGITS], 16)
+
+
+def fingerprints_of(content: PageContent) -> Fingerprints:
+    """Return the sorted fingerprints of the keys in a page."""
+    if content.fingerprints:
+        return array.array('Q', content.fingerprints)
+    return array.array('Q', sorted(fingerprint(k) for k in content.entries))
+
+
+def holds(fingerprints: Fingerprints, key: str) -> bool:
+    """Return whether sorted fingerprints hold that of a key digest."""
+    wanted = fingerprint(key)
+    position = bisect.bisect_left(fingerprints, wanted)
+    return position < len(fingerprints) and fingerprints[position] == wanted
+
+
+def kept_answer(answer: order.WholeAnswer) -> order.WholeAnswer | None:
+    """Return the answer if it is small enough to be kept, else None."""
+    return answer if _answer_bytes(answer) <= ANSWER_BYTES else None
+
+
+def size_bytes(current: order.Slice) -> int:
+    """Return an upper estimate of a slice's encoded size."""
+    pages = len(current.pages) * ENTRY_BYTES
+    return pages + sum(_entry_bytes(e) for e in current.entries.values())
+
+
+def is_full(current: order.Slice) -> bool:
+    """Return whether a slice has no room for another claim."""
+    if len(current.pages) >= SLICE_PAGES:
+        return True
+    return size_bytes(current) > SLICE_BYTES
+
+
+def compact(
+    current: order.Slice,
+    load: Callable[[str], PageContent | None],
+    new_name: Callable[[], str],
+    now_unix_s: float,
+) -> Compaction | None:
+    """Return a smaller form of a slice, or None if it may stay as it is.
+
+    Args:
+        current: the slice.
+        load: returns the content of a page, or None if it cannot be read.
+        new_name: returns a page name that was never used.
+        now_unix_s: present time in seconds since the epoch.
+    """
+    if size_bytes(current) <= COMPACT_BYTES:
+        return None
+    small, created = _move_entries(current, new_name, now_unix_s)
+    small = _forget_timed_keys(small, now_unix_s)
+    small, folded = _fold_old_pages(small, load, new_name, now_unix_s)
+    if small is current:
+        return None
+    created.update(folded)
+    kept = {page.name for page in small.pages}
+    obsolete = tuple(p.name for p in current.pages if p.name not in kept)
+    return Compaction(small, created, obsolete)
+
+
+def _move_entries(
+    current: order.Slice, new_name: Callable[[], str], now_unix_s: float
+) -> tuple[order.Slice, dict[str, PageContent]]:
+    dropped = {
+        key
+        for key, entry in current.entries.items()
+        if _is_past_release(entry, now_unix_s)
+    }
+    moved = {
+        key: entry
+        for key, entry in current.entries.items()
+        if _may_move(entry, now_unix_s)
+    }
+    if not dropped and not moved:
+        return current, {}
+    kept = {
+        key: entry
+        for key, entry in current.entries.items()
+        if key not in dropped and key not in moved
+    }
+    small = attrs.evolve(current, entries=kept)
+    if not moved:
+        return small, {}
+    page = order.Page(
+        name=new_name(),
+        with_answers=True,
+        entries=len(moved),
+        newest_unix_s=max(e.changed_unix_s for e in moved.values()),
+        timed=False,
+    )
+    small = attrs.evolve(small, pages=(*small.pages, page))
+    return small, {page.name: PageContent(entries=moved)}
+
+
+def _is_past_release(entry: order.Entry, now_unix_s: float) -> bool:
+    if entry.state is not OrderState.RELEASED:
+        return False
+    return now_unix_s - entry.deadline_unix_s > RELEASED_WINDOW_S
+
+
+def _may_move(entry: order.Entry, now_unix_s: float) -> bool:
+    if entry.state is OrderState.CLAIMED:
+        return now_unix_s - entry.deadline_unix_s > CLAIMED_WINDOW_S
+    return entry.state in (OrderState.DONE, OrderState.IN_DOUBT)
+
+
+def _forget_timed_keys(current: order.Slice, now_unix_s: float) -> order.Slice:
+    past = [
+        page
+        for page in current.pages
+        if page.timed and now_unix_s - page.newest_unix_s > KEY_WINDOW_S
+    ]
+    if not past:
+        return current
+    newest_unix_s = max(page.newest_unix_s for page in past)
+    return attrs.evolve(
+        current,
+        pages=tuple(p for p in current.pages if p not in past),
+        forgotten_unix_s=max(current.forgotten_unix_s, newest_unix_s),
+    )
+
+
+def _fold_old_pages(
+    current: order.Slice,
+    load: Callable[[str], PageContent | None],
+    new_name: Callable[[], str],
+    now_unix_s: float,
+) -> tuple[order.Slice, dict[str, PageContent]]:
+    created: dict[str, PageContent] = {}
+    for page in current.pages:
+        age_s = now_unix_s - page.newest_unix_s
+        if not page.with_answers or age_s <= ANSWER_WINDOW_S:
+            continue
+        content = load(page.name)
+        if content is None:
+            continue
+        rest = tuple(p for p in current.pages if p is not page)
+        current = attrs.evolve(current, pages=rest)
+        for timed in (True, False):
+            entries = {
+                key: entry
+                for key, entry in content.entries.items()
+                if bool(entry.key_unix_s) is timed
+            }
+            if entries:
+                current = _add_fingerprints(
+                    current, entries, timed, load, new_name, created
+                )
+    return current, created
+
+
+def _add_fingerprints(
+    current: order.Slice,
+    entries: Mapping[str, order.Entry],
+    timed: bool,
+    load: Callable[[str], PageContent | None],
+    new_name: Callable[[], str],
+    created: dict[str, PageContent],
+) -> order.Slice:
+    newest_unix_s = max(e.key_unix_s for e in entries.values())
+    values = {fingerprint(key) for key in entries}
+    pages = current.pages
+    partial = _page_with_room(pages, timed, len(entries))
+    if partial is not None:
+        content = created.pop(partial.name, None) or load(partial.name)
+        if content is not None:
+            values.update(content.fingerprints)
+            newest_unix_s = max(newest_unix_s, partial.newest_unix_s)
+            pages = tuple(p for p in pages if p is not partial)
+    page = order.Page(new_name(), False, len(values), newest_unix_s, timed)
+    created[page.name] = PageContent(fingerprints=tuple(sorted(values)))
+    return attrs.evolve(current, pages=(*pages, page))
+
+
+def _page_with_room(
+    pages: Iterable[order.Page], timed: bool, entries: int
+) -> order.Page | None:
+    for page in pages:
+        if page.with_answers or page.timed is not timed:
+            continue
+        if page.entries + entries <= PAGE_KEYS:
+            return page
+    return None
+
+
+def _entry_bytes(entry: order.Entry) -> int:
+    if entry.answer is None:
+        return ENTRY_BYTES
+    return ENTRY_BYTES + _answer_bytes(entry.answer)
+
+
+def _answer_bytes(answer: order.WholeAnswer) -> int:
+    headers = sum(len(k) + len(v) + 8 for k, v in answer.headers)
+    return headers + len(answer.body) * 5 // 4
--- /dev/null
+++ b/wigeonfall/serving/orders.py
@@ -0,0 +1,349 @@
+"""Runs non-idempotent calls at most once.
+
+A call with a key is claimed in the ledger before it is dispatched. Only the
+thread that was granted a claim dispatches, and nobody ever grants the key of
+an order again that may have been dispatched.
+"""
+
+from collections.abc import Callable
+from concurrent import futures
+import time
+from typing import Protocol
+import uuid
+
+import attrs
+from result import Err
+from result import Ok
+from result import Result
+
+from . import batches
+from ..events import Event
+from . import ledger as serving_ledger
+from ..model import order
+from ..model.order import OrderState
+from ..model.order import Verdict
+from ..model import refusal
+from ..model.refusal import Code
+from ..model import request as request_model
+from ..policy import ledger
+from ..policy import retention
+from ..policy import retry
+from ..ports.ledger import LedgerError
+from ..ports.targets import AttemptError
+from ..ports.targets import AttemptErrorKind
+from ..recorder import Record
+
+CLAIM_WAIT_S = 3.0
+OUTCOME_WAIT_S = 1.0
+HOLDER_MARGIN_S = 2.0
+FIRST_POLL_S = 0.05
+LONGEST_POLL_S = 1.0
+MOST_ATTEMPTS = 4
+RETRY_AFTER_S = 1.0
+
+Outcome = Result[order.WholeAnswer, refusal.Refusal]
+Dispatch = Callable[
+    [], Result[order.WholeAnswer, AttemptError | refusal.Refusal]
+]
+Decided = Result[order.Decision, LedgerError]
+
+
+class Ledger(Protocol):
+    """What orders need of the ledger."""
+
+    def submit(self, change: order.Change) -> batches.DecisionFuture:
+        """Hand a change to the ledger."""
+
+    def known(self, claim: order.Claim) -> order.Decision | None:
+        """Return the decision on a claim if its order is known to be done."""
+
+
+@attrs.frozen
+class Orders:
+    """Runs the non-idempotent calls of one instance.
+
+    Attributes:
+        name: name of the instance.
+        ledger: claims and outcomes.
+        budgets: budgets for retries.
+        record: records events.
+        clocks: reads the time.
+        sleep: waits for some seconds.
+    """
+
+    name: str
+    ledger: Ledger
+    budgets: retry.RetryBudgets
+    record: Record
+    clocks: serving_ledger.Clocks
+    sleep: Callable[[float], None]
+
+    def run(
+        self, request: request_model.Request, dispatch: Dispatch
+    ) -> Outcome:
+        """Run a call at most once.
+
+        Args:
+            request: the call.
+            dispatch: makes one attempt, on a fresh connection, and reads the
+                answer to its end. It may refuse instead, before it sends
+                anything, and must do so once the deadline has passed.
+
+        Returns:
+            The answer of this or an earlier run, or a refusal that says
+            whether this call ran.
+        """
+        if not request.idempotency_key:
+            return self._dispatch(request, dispatch)
+        obtained = self._obtain(request)
+        if isinstance(obtained, Err):
+            return obtained
+        claim, decision = obtained.ok_value
+        if decision.verdict is not Verdict.GRANTED:
+            self.record(
+                Event.ORDER_REPEATED,
+                request=request.id,
+                verdict=decision.verdict.value,
+            )
+            return _outcome_without_run(decision)
+        self.record(Event.ORDER_CLAIMED, request=request.id, claim=claim.claim)
+        outcome = self._dispatch(request, dispatch)
+        self._settle(request, claim, outcome)
+        return outcome
+
+    def _make_claim(self, request: request_model.Request) -> order.Claim:
+        now_unix_s = self.clocks.now_unix_s()
+        left_s = request.deadline_s - self.clocks.now_s()
+        key = request.idempotency_key
+        return order.Claim(
+            key=ledger.key_digest(request.customer.name, key),
+            request=ledger.request_digest(
+                request.service.name,
+                request.method,
+                request.path,
+                request.body,
+            ),
+            claim=uuid.uuid4().hex,
+            instance=self.name,
+            deadline_unix_s=now_unix_s + left_s,
+            key_unix_s=ledger.key_time_unix_s(key, now_unix_s),
+        )
+
+    def _obtain(
+        self, request: request_model.Request
+    ) -> Result[tuple[order.Claim, order.Decision], refusal.Refusal]:
+        """Wait until a claim is granted or the order's outcome is known."""
+        claim = self._make_claim(request)
+        is_repeat = False
+        poll_s = FIRST_POLL_S
+        while True:
+            decided = self._decide(request, claim)
+            if isinstance(decided, Err):
+                if not is_repeat:
+                    return Err(_claim_unavailable(decided.err_value))
+                claim = self._make_claim(request)
+            elif decided.ok_value.verdict is not Verdict.CLAIMED:
+                return Ok((claim, decided.ok_value))
+            elif self._is_holder_late(decided.ok_value):
+                return Ok((claim, order.Decision(Verdict.IN_DOUBT)))
+            is_repeat = True
+            left_s = request.deadline_s - self.clocks.now_s()
+            if left_s <= 0:
+                return Err(_in_progress())
+            self.sleep(min(poll_s, left_s))
+            poll_s = min(LONGEST_POLL_S, 2 * poll_s)
+
+    def _decide(
+        self, request: request_model.Request, claim: order.Claim
+    ) -> Decided:
+        known = self.ledger.known(claim)
+        if known is not None:
+            return Ok(known)
+        left_s = request.deadline_s - self.clocks.now_s()
+        future = self.ledger.submit(claim)
+        decided = _wait(future, min(CLAIM_WAIT_S, max(0.0, left_s)))
+        if isinstance(decided, Err):
+            if decided.err_value.maybe_written and not future.cancel():
+                # The claim may be in the ledger, or get there yet.
+                self.ledger.submit(order.Settle(claim, OrderState.RELEASED))
+            self.record(
+                Event.CLAIM_FAILED,
+                request=request.id,
+                problem=decided.err_value.message,
+            )
+        return decided
+
+    def _is_holder_late(self, decision: order.Decision) -> bool:
+        late_unix_s = decision.deadline_unix_s + HOLDER_MARGIN_S
+        return self.clocks.now_unix_s() > late_unix_s
+
+    def _dispatch(
+        self, request: request_model.Request, dispatch: Dispatch
+    ) -> Outcome:
+        """Try until an attempt may have run, and never after that."""
+        customer = request.customer.name
+        service = request.service.name
+        tries_left = MOST_ATTEMPTS
+        while True:
+            if self.clocks.now_s() >= request.deadline_s:
+                return Err(_deadline_exceeded())
+            result = dispatch()
+            now_s = self.clocks.now_s()
+            if isinstance(result, Ok):
+                self.budgets.succeeded(customer, service, now_s)
+                return result
+            failure = result.err_value
+            if isinstance(failure, refusal.Refusal):
+                return Err(failure)
+            if may_have_run(failure):
+                return Err(_outcome_unknown(failure))
+            tries_left -= 1
+            if not tries_left or not self.budgets.may_retry(
+                customer, service, now_s, request.deadline_s
+            ):
+                return Err(_not_delivered(failure))
+
+    def _settle(
+        self,
+        request: request_model.Request,
+        claim: order.Claim,
+        outcome: Outcome,
+    ) -> None:
+        settle = _settlement(claim, outcome)
+        event = _SETTLED_EVENTS[settle.state]
+        self.record(event, request=request.id, claim=claim.claim)
+        recorded = _wait(self.ledger.submit(settle), OUTCOME_WAIT_S)
+        if isinstance(recorded, Err):
+            self.record(
+                Event.OUTCOME_NOT_RECORDED,
+                request=request.id,
+                claim=claim.claim,
+            )
+
+
+def make_orders(
+    name: str,
+    ledger_: Ledger,
+    budgets: retry.RetryBudgets,
+    record: Record,
+    clocks: serving_ledger.Clocks | None = None,
+    sleep: Callable[[float], None] = time.sleep,
+) -> Orders:
+    """Return what runs the non-idempotent calls of an instance.
+
+    Args:
+        name: name of this instance.
+        ledger_: claims and outcomes.
+        budgets: budgets for retries.
+        record: records events.
+        clocks: reads the time.
+        sleep: waits for some seconds.
+    """
+    return Orders(
+        name,
+        ledger_,
+        budgets,
+        record,
+        clocks or serving_ledger.Clocks(),
+        sleep,
+    )
+
+
+def may_have_run(error: AttemptError) -> bool:
+    """Return whether a failed attempt may have run at its target."""
+    return error.ran and error.kind is not AttemptErrorKind.NOT_SENT
+
+
+_SETTLED_EVENTS = {
+    OrderState.DONE: Event.ORDER_DONE,
+    OrderState.RELEASED: Event.ORDER_RELEASED,
+    OrderState.IN_DOUBT: Event.ORDER_IN_DOUBT,
+}
+
+
+def _settlement(claim: order.Claim, outcome: Outcome) -> order.Settle:
+    if isinstance(outcome, Ok):
+        kept = retention.kept_answer(outcome.ok_value)
+        return order.Settle(claim, OrderState.DONE, kept)
+    if outcome.err_value.run is refusal.Run.NOT_RUN:
+        return order.Settle(claim, OrderState.RELEASED)
+    return order.Settle(claim, OrderState.IN_DOUBT)
+
+
+def _wait(future: batches.DecisionFuture, timeout_s: float) -> Decided:
+    try:
+        return future.result(timeout_s)
+    except futures.TimeoutError:
+        return Err(LedgerError('no answer in time', maybe_written=True))
+
+
+def _outcome_without_run(decision: order.Decision) -> Outcome:
+    if decision.verdict is Verdict.DONE and decision.answer is not None:
+        return Ok(decision.answer)
+    return Err(_refuse(decision.verdict))
+
+
+def _refuse(verdict: Verdict) -> refusal.Refusal:
+    match verdict:
+        case Verdict.DONE:
+            return refusal.unknown(
+                Code.KEY_EXPIRED,
+                'The order is done, but its answer is not kept.',
+            )
+        case Verdict.IN_DOUBT:
+            return refusal.unknown(
+                Code.OUTCOME_UNKNOWN,
+                'An earlier call with this key may have run.',
+            )
+        case Verdict.KEY_REUSED:
+            return refusal.not_run(
+                Code.KEY_REUSED, 'The key belongs to another request.'
+            )
+        case Verdict.KEY_EXPIRED:
+            return refusal.unknown(
+                Code.KEY_EXPIRED,
+                'An order with this key may have run long ago.',
+            )
+        case Verdict.FULL:
+            return refusal.not_run(
+                Code.CLAIM_UNAVAILABLE,
+                'The ledger has no room for another key.',
+                RETRY_AFTER_S,
+            )
+        case _:
+            return _deadline_exceeded()
+
+
+def _claim_unavailable(error: LedgerError) -> refusal.Refusal:
+    return refusal.not_run(
+        Code.CLAIM_UNAVAILABLE,
+        f'This call was not sent: no claim on its key ({error.message}).',
+        RETRY_AFTER_S,
+    )
+
+
+def _in_progress() -> refusal.Refusal:
+    return refusal.unknown(
+        Code.IN_PROGRESS, 'An earlier call with this key is in progress.'
+    )
+
+
+def _deadline_exceeded() -> refusal.Refusal:
+    return refusal.not_run(
+        Code.DEADLINE_EXCEEDED, 'The deadline passed before the call was sent.'
+    )
+
+
+def _outcome_unknown(error: AttemptError) -> refusal.Refusal:
+    return refusal.unknown(
+        Code.OUTCOME_UNKNOWN,
+        f'The target may have run the call: {error.message}.',
+    )
+
+
+def _not_delivered(error: AttemptError) -> refusal.Refusal:
+    return refusal.not_run(
+        Code.NO_TARGET,
+        f'No target took the call: {error.message}.',
+        RETRY_AFTER_S,
+    )
