--- /dev/null
+++ b/wigeonfall/cli.py
@@ -0,0 +1,107 @@
+"""The command line."""
+
+import enum
+import json
+import pathlib
+from typing import Annotated
+from typing import NoReturn
+
+from result import Err
+import typer
+
+from . import errors
+from . import ini
+from . import recorder
+from . import settings as settings_module
+from . import timeline
+from . import VERSION
+from .serving import process
+
+EXIT_FAULT = 2
+EXIT_UNREACHABLE = 3
+
+
+class Output(enum.Enum):
+    """Form of what a command prints."""
+
+    TABLE = 'table'
+    JSON = 'json'
+
+
+app = typer.Typer(no_args_is_help=True, help='Schedule requests to engines.')
+
+SettingsFile = Annotated[
+    pathlib.Path, typer.Option(help='INI file of the process.')
+]
+
+
+@app.command()
+def serve(settings: SettingsFile) -> None:
+    """Run one entry instance until it is told to stop."""
+    read = settings_module.read_process_settings(settings)
+    if isinstance(read, Err):
+        _fail(read.err_value)
+    process_settings = read.ok_value
+    files = process_settings.configuration
+    configuration = settings_module.read_configuration(
+        pathlib.Path(files.base_file),
+        pathlib.Path(files.overlay_file) if files.overlay_file else None,
+        process_settings.instance.data_center,
+    )
+    if isinstance(configuration, Err):
+        _fail(configuration.err_value)
+    recorder.log_to_stdout(process_settings.log.level)
+    try:
+        made = process.make_process(process_settings, configuration.ok_value)
+    except errors.WigeonfallError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(EXIT_FAULT) from error
+    process.run(made)
+
+
+@app.command('timeline')
+def show_timeline(
+    sources: Annotated[
+        list[str],
+        typer.Argument(help='Log files, or "host:port" of instances.'),
+    ],
+    output: Annotated[Output, typer.Option(help='Form of the output.')] = (
+        Output.TABLE
+    ),
+) -> None:
+    """Merge the events of files and instances in causal order."""
+    key = settings_module.read_secret('operators_key', '')
+    try:
+        read = [_read_events(source, key) for source in sources]
+    except timeline.TimelineError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(EXIT_UNREACHABLE) from error
+    for entry in timeline.merge(read):
+        if output is Output.JSON:
+            typer.echo(json.dumps(recorder.to_json(entry)))
+        else:
+            typer.echo(timeline.describe(entry))
+
+
+@app.command()
+def version() -> None:
+    """Print the version."""
+    typer.echo(VERSION)
+
+
+def _read_events(source: str, key: str) -> tuple[recorder.Entry, ...]:
+    path = pathlib.Path(source)
+    if path.exists() or ':' not in source:
+        return timeline.read_file(path)
+    return timeline.read_instance(source, key)
+
+
+def _fail(faults: ini.Faults) -> NoReturn:
+    for fault in faults:
+        typer.echo(str(fault), err=True)
+    raise typer.Exit(EXIT_FAULT)
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
