--- a/wigeonfall/adapters/ledger_peers.py
+++ b/wigeonfall/adapters/ledger_peers.py
@@ -13,6 +13,7 @@
 from result import Err
 from result import Ok
 
+from ..model.answer import WholeAnswer
 from ..model import instance
 from ..model import order
 from ..ports.ledger import Decisions
@@ -239,7 +240,7 @@
 
 
 def _answer_to_message(
-    answer: order.WholeAnswer | None,
+    answer: WholeAnswer | None,
 ) -> ledger_pb2.Answer | None:
     if answer is None:
         return None
@@ -254,9 +255,9 @@
 
 def _answer_from_message(
     message: ledger_pb2.Change | ledger_pb2.Decision,
-) -> order.WholeAnswer | None:
+) -> WholeAnswer | None:
     if not message.HasField('answer'):
         return None
     answer = message.answer
     headers = tuple((h.name, h.value) for h in answer.headers)
-    return order.WholeAnswer(answer.status, headers, answer.body)
+    return WholeAnswer(answer.status, headers, answer.body)
--- a/wigeonfall/model/answer.py
+++ b/wigeonfall/model/answer.py
@@ -18,3 +18,18 @@
     status: int
     headers: tuple[tuple[str, str], ...]
     body: Iterator[bytes]
+
+
+@attrs.frozen
+class WholeAnswer:
+    """An answer that was read to its proven end.
+
+    Attributes:
+        status: HTTP status.
+        headers: headers for the caller.
+        body: the whole body.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
--- a/wigeonfall/model/order.py
+++ b/wigeonfall/model/order.py
@@ -9,20 +9,7 @@
 
 import attrs
 
-
-@attrs.frozen
-class WholeAnswer:
-    """An answer that was read to its proven end.
-
-    Attributes:
-        status: HTTP status.
-        headers: headers for the caller.
-        body: the whole body.
-    """
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
+from .answer import WholeAnswer
 
 
 class OrderState(enum.Enum):
--- a/wigeonfall/policy/ledger.py
+++ b/wigeonfall/policy/ledger.py
@@ -7,7 +7,6 @@
 """
 
 from collections.abc import Callable
-from collections.abc import Iterable
 import hashlib
 import uuid
 
@@ -62,19 +61,6 @@
     return carried_s
 
 
-def owner(slice_name: str, instances: Iterable[str]) -> str | None:
-    """Return the instance that writes a slice, by rendezvous hash."""
-    return max(
-        instances,
-        key=lambda name: (_weight(name, slice_name), name),
-        default=None,
-    )
-
-
-def _weight(instance: str, slice_name: str) -> int:
-    return xxhash.xxh3_64_intdigest(f'{instance}/{slice_name}'.encode())
-
-
 def decide(
     current: order.Slice,
     change: order.Change,
--- a/wigeonfall/policy/retention.py
+++ b/wigeonfall/policy/retention.py
@@ -14,6 +14,7 @@
 
 import attrs
 
+from ..model.answer import WholeAnswer
 from ..model import order
 from ..model.order import OrderState
 
@@ -76,7 +77,7 @@
     return position < len(fingerprints) and fingerprints[position] == wanted
 
 
-def kept_answer(answer: order.WholeAnswer) -> order.WholeAnswer | None:
+def kept_answer(answer: WholeAnswer) -> WholeAnswer | None:
     """Return the answer if it is small enough to be kept, else None."""
     return answer if _answer_bytes(answer) <= ANSWER_BYTES else None
 
@@ -252,6 +253,6 @@
     return ENTRY_BYTES + _answer_bytes(entry.answer)
 
 
-def _answer_bytes(answer: order.WholeAnswer) -> int:
+def _answer_bytes(answer: WholeAnswer) -> int:
     headers = sum(len(k) + len(v) + 8 for k, v in answer.headers)
     return headers + len(answer.body) * 5 // 4
--- a/wigeonfall/serving/ledger.py
+++ b/wigeonfall/serving/ledger.py
@@ -21,6 +21,7 @@
 from ..model import instance
 from ..model import order
 from ..policy import ledger
+from ..policy import rendezvous
 from ..ports.ledger import Decisions
 from ..ports.ledger import LedgerError
 from ..ports.ledger import LedgerPeers
@@ -139,7 +140,7 @@
 
     def _remote_owner(self, number: int) -> instance.Instance | None:
         live = {peer.name: peer for peer in self._peers.live()}
-        owner = ledger.owner(_slice_name(number), {*live, self._name})
+        owner = rendezvous.owner(_slice_name(number), {*live, self._name})
         if owner is None or owner == self._name:
             return None
         if self._clocks.now_s() < self._suspect_until_s.get(owner, 0.0):
--- a/wigeonfall/serving/orders.py
+++ b/wigeonfall/serving/orders.py
@@ -19,6 +19,7 @@
 from . import batches
 from ..events import Event
 from . import ledger as serving_ledger
+from ..model import answer
 from ..model import order
 from ..model.order import OrderState
 from ..model.order import Verdict
@@ -27,10 +28,7 @@
 from ..model import request as request_model
 from ..policy import ledger
 from ..policy import retention
-from ..policy import retry
 from ..ports.ledger import LedgerError
-from ..ports.targets import AttemptError
-from ..ports.targets import AttemptErrorKind
 from ..recorder import Record
 
 CLAIM_WAIT_S = 3.0
@@ -38,13 +36,10 @@
 HOLDER_MARGIN_S = 2.0
 FIRST_POLL_S = 0.05
 LONGEST_POLL_S = 1.0
-MOST_ATTEMPTS = 4
 RETRY_AFTER_S = 1.0
 
-Outcome = Result[order.WholeAnswer, refusal.Refusal]
-Dispatch = Callable[
-    [], Result[order.WholeAnswer, AttemptError | refusal.Refusal]
-]
+Outcome = Result[answer.WholeAnswer, refusal.Refusal]
+Dispatch = Callable[[request_model.Request], Outcome]
 Decided = Result[order.Decision, LedgerError]
 
 
@@ -65,7 +60,6 @@
     Attributes:
         name: name of the instance.
         ledger: claims and outcomes.
-        budgets: budgets for retries.
         record: records events.
         clocks: reads the time.
         sleep: waits for some seconds.
@@ -73,7 +67,6 @@
 
     name: str
     ledger: Ledger
-    budgets: retry.RetryBudgets
     record: Record
     clocks: serving_ledger.Clocks
     sleep: Callable[[float], None]
@@ -85,16 +78,16 @@
 
         Args:
             request: the call.
-            dispatch: makes one attempt, on a fresh connection, and reads the
-                answer to its end. It may refuse instead, before it sends
-                anything, and must do so once the deadline has passed.
+            dispatch: sends the call to a target and reads the answer to its
+                end. It sends at most once, refuses once the deadline has
+                passed, and says "not run" only if nothing ran.
 
         Returns:
             The answer of this or an earlier run, or a refusal that says
             whether this call ran.
         """
         if not request.idempotency_key:
-            return self._dispatch(request, dispatch)
+            return dispatch(request)
         obtained = self._obtain(request)
         if isinstance(obtained, Err):
             return obtained
@@ -180,28 +173,9 @@
     def _dispatch(
         self, request: request_model.Request, dispatch: Dispatch
     ) -> Outcome:
-        """Try until an attempt may have run, and never after that."""
-        customer = request.customer.name
-        service = request.service.name
-        tries_left = MOST_ATTEMPTS
-        while True:
-            if self.clocks.now_s() >= request.deadline_s:
-                return Err(_deadline_exceeded())
-            result = dispatch()
-            now_s = self.clocks.now_s()
-            if isinstance(result, Ok):
-                self.budgets.succeeded(customer, service, now_s)
-                return result
-            failure = result.err_value
-            if isinstance(failure, refusal.Refusal):
-                return Err(failure)
-            if may_have_run(failure):
-                return Err(_outcome_unknown(failure))
-            tries_left -= 1
-            if not tries_left or not self.budgets.may_retry(
-                customer, service, now_s, request.deadline_s
-            ):
-                return Err(_not_delivered(failure))
+        if self.clocks.now_s() >= request.deadline_s:
+            return Err(_deadline_exceeded())
+        return dispatch(request)
 
     def _settle(
         self,
@@ -224,7 +198,6 @@
 def make_orders(
     name: str,
     ledger_: Ledger,
-    budgets: retry.RetryBudgets,
     record: Record,
     clocks: serving_ledger.Clocks | None = None,
     sleep: Callable[[float], None] = time.sleep,
@@ -234,7 +207,6 @@
     Args:
         name: name of this instance.
         ledger_: claims and outcomes.
-        budgets: budgets for retries.
         record: records events.
         clocks: reads the time.
         sleep: waits for some seconds.
@@ -242,18 +214,12 @@
     return Orders(
         name,
         ledger_,
-        budgets,
         record,
         clocks or serving_ledger.Clocks(),
         sleep,
     )
 
 
-def may_have_run(error: AttemptError) -> bool:
-    """Return whether a failed attempt may have run at its target."""
-    return error.ran and error.kind is not AttemptErrorKind.NOT_SENT
-
-
 _SETTLED_EVENTS = {
     OrderState.DONE: Event.ORDER_DONE,
     OrderState.RELEASED: Event.ORDER_RELEASED,
@@ -332,18 +298,3 @@
     return refusal.not_run(
         Code.DEADLINE_EXCEEDED, 'The deadline passed before the call was sent.'
     )
-
-
-def _outcome_unknown(error: AttemptError) -> refusal.Refusal:
-    return refusal.unknown(
-        Code.OUTCOME_UNKNOWN,
-        f'The target may have run the call: {error.message}.',
-    )
-
-
-def _not_delivered(error: AttemptError) -> refusal.Refusal:
-    return refusal.not_run(
-        Code.NO_TARGET,
-        f'No target took the call: {error.message}.',
-        RETRY_AFTER_S,
-    )
--- a/wigeonfall/serving/process.py
+++ b/wigeonfall/serving/process.py
@@ -18,6 +18,7 @@
 from .. import settings as settings_module
 from ..adapters import callers
 from ..adapters import event_loop
+from ..adapters import ledger_peers
 from ..adapters import operators
 from ..adapters import peers
 from ..adapters import platform as platform_adapter
@@ -26,14 +27,20 @@
 from ..events import Event
 from . import exchange as exchange_module
 from . import handling as handling_module
+from . import ledger as ledger_module
 from . import live_list
 from . import local_admission
 from ..model.answer import Answer
 from ..model.configuration import Configuration
 from ..model.instance import Instance
+from . import orders
+from ..policy import retry
 from ..ports.callers import Call
+from . import seen_peers
 from .attempts import Attempts
 
+LEDGER_STOP_S = 5.0
+
 
 class StartError(errors.WigeonfallError):
     """A process cannot start with its settings."""
@@ -50,6 +57,9 @@
     exchange: exchange_module.Exchange
     peers_contexts: tuple[ssl.SSLContext, ssl.SSLContext] | None
     live: live_list.LiveListReader
+    ledger: ledger_module.Ledger
+    ledger_client: ledger_peers.LedgerClient
+    loop: event_loop.LoopThread
     ready: threading.Event
     stopping: threading.Event
 
@@ -75,7 +85,25 @@
     registry = prometheus_client.CollectorRegistry()
     record = metrics.counting(recorder.record, metrics.Metrics(registry))
     live = live_list.LiveListReader(platform, record)
-    handling = _make_handling(settings, configuration, record, live)
+    loop = event_loop.LoopThread()
+    seen = seen_peers.SeenPeers()
+    peers_contexts = tls.make_peers_contexts(
+        settings.tls.peers_certificate_file,
+        settings.tls.peers_key_file,
+        settings.tls.peers_authority_file,
+    )
+    ledger_client = ledger_peers.LedgerClient(
+        loop.loop, peers_contexts[1] if peers_contexts else None
+    )
+    ledger = ledger_module.make_ledger(
+        own.name,
+        platform,
+        ledger_peers.make_ledger_peers(
+            ledger_client, lambda: seen.live(time.time())
+        ),
+        record,
+    )
+    handling = _make_handling(settings, configuration, record, live, ledger)
     ready = threading.Event()
     return Process(
         settings=settings,
@@ -84,13 +112,12 @@
         operators_server=_make_operators_server(
             settings, recorder, ready, registry
         ),
-        exchange=exchange_module.Exchange(own, recorder),
-        peers_contexts=tls.make_peers_contexts(
-            settings.tls.peers_certificate_file,
-            settings.tls.peers_key_file,
-            settings.tls.peers_authority_file,
-        ),
+        exchange=exchange_module.Exchange(own, recorder, seen=seen.seen),
+        peers_contexts=peers_contexts,
         live=live,
+        ledger=ledger,
+        ledger_client=ledger_client,
+        loop=loop,
         ready=ready,
         stopping=threading.Event(),
     )
@@ -101,13 +128,22 @@
     configuration: Configuration,
     record: recorder_module.Record,
     live: live_list.LiveListReader,
+    ledger: ledger_module.Ledger,
 ) -> handling_module.Handling:
+    budgets = retry.RetryBudgets()
     admission = local_admission.LocalAdmission(live.live_targets)
     attempts = Attempts(
         targets=targets_adapter.make_targets(),
         acquire=admission.acquire,
-        may_retry=lambda _request, _now_s: True,
-        succeeded=lambda _request, _now_s: None,
+        may_retry=lambda request, now_s: budgets.may_retry(
+            request.customer.name,
+            request.service.name,
+            now_s,
+            request.deadline_s,
+        ),
+        succeeded=lambda request, now_s: budgets.succeeded(
+            request.customer.name, request.service.name, now_s
+        ),
         leaving=live.target_leaving,
         observe=lambda _outcome, _now_s: None,
         record=record,
@@ -117,7 +153,9 @@
         attempts=attempts,
         check_limits=lambda _customer, _now_s: Ok(None),
         choose_version=lambda request, _now_s: request,
-        run_order=lambda request, dispatch: dispatch(request),
+        run_order=orders.make_orders(
+            settings.instance.name, ledger, record
+        ).run,
         record=record,
         body_limit_bytes=settings.limits.body_limit_bytes,
     )
@@ -186,7 +224,7 @@
         signal.signal(number, lambda *_args: process.stopping.set())
     record = process.recorder.record
     record(Event.PROCESS_STARTED, name=process.settings.instance.name)
-    loop = event_loop.LoopThread()
+    loop = process.loop
     server = loop.submit(_serve_peers(process)).result()
     process.live.start()
     loop.submit(_swap_with_peers(process))
@@ -200,6 +238,8 @@
     )
     process.stopping.wait()
     _stop(process)
+    process.ledger.close(LEDGER_STOP_S)
+    process.ledger_client.close()
     server.close()
     loop.stop()
     record(Event.STOP_FINISHED)
@@ -223,7 +263,10 @@
 
 
 async def _serve_peers(process: Process) -> grpclib.server.Server:
-    handlers = [peers.ExchangeServer(process.exchange.swap)]
+    handlers: list[Any] = [
+        peers.ExchangeServer(process.exchange.swap),
+        ledger_peers.LedgerService(process.ledger.accept),
+    ]
     server = grpclib.server.Server(handlers)
     address = process.settings.listen.peers_address
     host, _, port = address.rpartition(':')
--- a/wigeonfall/serving/whole.py
+++ b/wigeonfall/serving/whole.py
@@ -8,6 +8,9 @@
 from result import Result
 
 from . import attempts as attempts_module
+from ..model.answer import WholeAnswer
+from ..model.refusal import Code
+from ..model.refusal import not_run
 from ..model.refusal import Refusal
 from ..model.refusal import Run
 from ..model.request import Request
@@ -20,21 +23,6 @@
 _SERVER_ERRORS = range(500, 600)
 
 
-@attrs.frozen
-class WholeAnswer:
-    """An answer of a target, read to its proven end.
-
-    Attributes:
-        status: HTTP status.
-        headers: headers of the target's answer.
-        body: the whole body.
-    """
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-
-
 def fetch(
     attempts: Attempts, request: Request
 ) -> Result[WholeAnswer, Refusal]:
@@ -54,7 +42,14 @@
         acquired = attempts.acquire(request, excluded, time.monotonic())
         if isinstance(acquired, Err):
             return Err(_truthful(acquired.err_value, ran))
-        tried = _try_once(attempts, request, acquired.ok_value)
+        grant = acquired.ok_value
+        if time.monotonic() >= request.deadline_s:
+            # The process may have been paused while it waited.
+            grant.release()
+            message = 'the deadline passed before the request was sent'
+            late = not_run(Code.DEADLINE_EXCEEDED, message)
+            return Err(_truthful(late, ran))
+        tried = _try_once(attempts, request, grant)
         if isinstance(tried, Ok):
             return tried
         failed = tried.err_value
