--- /dev/null
+++ b/tests/policy/test_retry.py
@@ -0,0 +1,53 @@
+"""Retry budgets."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from wigeonfall.policy import retry
+
+FAR_S = 1e9
+
+
+@hypothesis.given(
+    st.lists(st.tuples(st.booleans(), st.floats(0, 5)), max_size=200)
+)
+def test_attempts_stay_within_the_budget(
+    requests: list[tuple[bool, float]],
+) -> None:
+    budgets = retry.RetryBudgets()
+    now_s = 0.0
+    retries = 0
+    successes = 0
+    for succeeds, passed_s in requests:
+        now_s += passed_s
+        if succeeds:
+            budgets.succeeded('norte', 'app', now_s)
+            successes += 1
+        while budgets.may_retry('norte', 'app', now_s, FAR_S):
+            retries += 1
+    minimum = 1 + now_s * retry.MINIMUM_RETRIES_PER_S
+    share = successes * retry.SHARE_RETRIES_PER_SUCCESS
+    assert retries <= minimum + share + 1e-6
+
+
+def test_a_long_idle_time_does_not_fill_a_budget_without_bound() -> None:
+    budgets = retry.RetryBudgets()
+    budgets.succeeded('norte', 'app', 0.0)
+    allowed = [
+        budgets.may_retry('norte', 'app', 500.0, FAR_S) for _ in range(50)
+    ]
+    assert sum(allowed) == retry.MOST_RETRIES
+
+
+def test_nothing_is_retried_past_the_deadline() -> None:
+    budgets = retry.RetryBudgets()
+    assert not budgets.may_retry('norte', 'app', 5.0, 5.0)
+    assert budgets.may_retry('norte', 'app', 4.9, 5.0)
+
+
+def test_customers_and_services_have_budgets_of_their_own() -> None:
+    budgets = retry.RetryBudgets()
+    assert budgets.may_retry('norte', 'app', 0.0, FAR_S)
+    assert not budgets.may_retry('norte', 'app', 0.0, FAR_S)
+    assert budgets.may_retry('recetas', 'app', 0.0, FAR_S)
+    assert budgets.may_retry('norte', 'pool', 0.0, FAR_S)
--- a/wigeonfall/serving/whole.py
+++ b/wigeonfall/serving/whole.py
@@ -2,7 +2,6 @@
 
 import time
 
-import attrs
 from result import Err
 from result import Ok
 from result import Result
@@ -12,7 +11,6 @@
 from ..model.refusal import Code
 from ..model.refusal import not_run
 from ..model.refusal import Refusal
-from ..model.refusal import Run
 from ..model.request import Request
 from ..ports.targets import AttemptError
 from ..ports.targets import AttemptErrorKind
@@ -39,16 +37,16 @@
     excluded: frozenset[str] = frozenset()
     ran = False
     while True:
-        acquired = attempts.acquire(request, excluded, time.monotonic())
+        acquired = attempts_module.acquire(attempts, request, excluded)
         if isinstance(acquired, Err):
-            return Err(_truthful(acquired.err_value, ran))
+            return Err(attempts_module.truthful(acquired.err_value, ran))
         grant = acquired.ok_value
         if time.monotonic() >= request.deadline_s:
             # The process may have been paused while it waited.
             grant.release()
             message = 'the deadline passed before the request was sent'
             late = not_run(Code.DEADLINE_EXCEEDED, message)
-            return Err(_truthful(late, ran))
+            return Err(attempts_module.truthful(late, ran))
         tried = _try_once(attempts, request, grant)
         if isinstance(tried, Ok):
             return tried
@@ -58,16 +56,10 @@
             attempts, request, failed.error, time.monotonic()
         ):
             refusal = attempts_module.failure_refusal(request, failed.error)
-            return Err(_truthful(refusal, ran))
+            return Err(attempts_module.truthful(refusal, ran))
         excluded |= {failed.target.name}
 
 
-def _truthful(refusal: Refusal, ran: bool) -> Refusal:
-    if ran and refusal.run is Run.NOT_RUN:
-        return attrs.evolve(refusal, run=Run.UNKNOWN)
-    return refusal
-
-
 def _try_once(
     attempts: Attempts, request: Request, grant: attempts_module.Grant
 ) -> Result[WholeAnswer, FailedTry]:
