--- a/wigeonfall/events.py
+++ b/wigeonfall/events.py
@@ -36,6 +36,11 @@
     SLICE_OWNER_UNREACHABLE = (310, logging.WARNING, 'slice owner unreachable')
 
     REQUEST_QUEUED = (401, logging.DEBUG, 'request queued')
+    ARBITER_CONNECTED = (402, logging.INFO, 'arbiter connected')
+    ARBITER_LOST = (403, logging.WARNING, 'arbiter lost')
+    GRANT_REVOKED = (404, logging.INFO, 'grant revoked')
+    ARBITRATION_BEGUN = (405, logging.INFO, 'arbitration of a pool begun')
+    GRANTS_RECLAIMED = (406, logging.WARNING, 'grants of a holder reclaimed')
 
     CONFIGURATION_IN_FORCE = (501, logging.INFO, 'configuration in force')
 
