Prove arbitration over gRPC with arbiters killed, silent and cut off

Four instances in two data centres run on one loop; a forwarder between the data centres can fall silent while its connections stay open.

Cause of the change to the local share: after an arbiter was killed with all 8 grants of a target out, another instance granted 1 more from its share at once, 9 in all, before it found the next arbiter. It now waits 1 s after a link breaks; the test of that saw 9 at 0 s before, and 8 up to 0.9 s after. Ruled out: to drop the local share, since a data centre without any arbiter has to serve.

--- a/tests/serving/test_admission.py
+++ b/tests/serving/test_admission.py
@@ -212,22 +212,43 @@
 
 
 def test_waits_that_moved_to_an_arbiter_do_not_come_back():
-    """What an arbiter granted no longer waits here when the link breaks."""
+    """What an arbiter shed no longer waits here when the link breaks."""
     run = Run(1)
     for _ in range(5):
-        run.step('submit', 0, 1)
-    run.fleet.connect(0, 0)
+        run.step('submit', 0, 3)
+    for node in range(INSTANCES):
+        run.fleet.connect(node, 0)
+    for _ in range(40):
+        run.step('submit', 1, 0)
     run.fleet.settle()
     run.fleet.tick(0.6)
     run.fleet.settle()
     run.collect()
-    assert len(run.grants[0]) == 4
-    run.give_up()
+    assert {node for node, _ in run.waits} == {1}
+    for grant in run.grants[0]:
+        assert grant.revoked.is_set()
+        grant.release()
     run.fleet.disconnect(0, lose=True)
     run.fleet.tick(0.6)
     assert run.fleet.nodes[0].held() == ()
 
 
+def test_broken_link_is_replaced_before_the_local_share_is_used():
+    """Others hold all room while the next arbiter is looked for."""
+    run = Run(1)
+    for node in range(INSTANCES):
+        run.fleet.connect(node, 0)
+    for _ in range(16):
+        run.step('submit', 1, 1)
+    run.fleet.settle()
+    run.step('submit', 0, 0)
+    run.fleet.restart(0)
+    run.fleet.tick(0.9)
+    assert run.most_outstanding() == 8
+    run.fleet.tick(0.2)
+    assert run.most_outstanding() == 9
+
+
 def test_target_that_this_instance_may_not_use_is_given_back():
     """A grant of a target that has left here leads to another one."""
     fleet = arbitration.Fleet(1, 1, seen=arbitration.TARGETS[1:])
--- a/wigeonfall/serving/admission.py
+++ b/wigeonfall/serving/admission.py
@@ -39,6 +39,7 @@
 
 LOCAL_PERIOD_S = 0.05
 WAIT_PERIOD_S = 0.25
+LINK_GRACE_S = 1.0
 RETRY_AFTER_S = 1.0
 
 LiveInstances = Callable[[], tuple[Instance, ...]]
@@ -140,6 +141,7 @@
         # Counts what is held in either mode; queues only without a link.
         self._local = admission.Pool(self._local_limits())
         self._local_decided_s = 0.0
+        self._local_from_s = 0.0
 
     def set_service(self, service: Service) -> None:
         """Take a changed configuration of the service."""
@@ -188,6 +190,8 @@
             if self._link is not link:
                 return
             self._link = None
+            # Another arbiter mostly answers before this time.
+            self._local_from_s = now_s + LINK_GRACE_S
             for wait in self._waits.values():
                 self._local.enqueue(wait.pending)
             self._decide_locally(now_s)
@@ -228,6 +232,7 @@
         if self._link is not None:
             return
         self._local_decided_s = now_s
+        self._local.pause(now_s < self._local_from_s)
         targets = self._live_targets(self._service.name, now_s)
         self._local.configure(self._local_limits(), targets)
         for decision in self._local.decide(now_s):
