--- /dev/null
+++ b/tests/policy/test_limits.py
@@ -0,0 +1,24 @@
+"""Tests of one instance's part of a limit."""
+
+import pytest
+
+from wigeonfall.policy import limits
+
+LIMIT = limits.Allowance(40.0, 9.0)
+
+
+@pytest.mark.parametrize(
+    ('own_per_s', 'others_per_s', 'rate_per_s'),
+    [(60, 20, 30), (1, 20, 20), (0, 0, 40), (0, 1000, 40 * 0.1 / 9)],
+)
+def test_rate(own_per_s, others_per_s, rate_per_s):
+    """It is by demand above the limit, what others leave below it."""
+    allowed = limits.allowance(LIMIT, own_per_s, others_per_s, 9, False)
+    assert allowed.rate_per_s == pytest.approx(rate_per_s)
+
+
+def test_burst():
+    """Small parts still let one request through."""
+    few = limits.Allowance(40.0, 2.0)
+    assert limits.allowance(few, 1, 99, 9, False).burst_requests == 1
+    assert limits.allowance(LIMIT, 9, 0, 9, False).burst_requests == 9
