--- a/tests/failure/test_tiers.py
+++ b/tests/failure/test_tiers.py
@@ -76,13 +76,14 @@
         self.live = ()
         self.events = []
         self.forwarder = Forwarder()
-        self.admission = admission.ServiceAdmission(
-            arbitration.SERVICE,
+        self.services = (arbitration.SERVICE,)
+        self.all_services = admission.Admission(
             self.own,
             lambda _service, _now_s: arbitration.TARGETS[:1],
             lambda: self.live,
             self._record,
         )
+        self.admission = self.all_services.of_service(arbitration.SERVICE)
         self.arbiters = arbiter.Arbiters(
             lambda _name: arbitration.SERVICE,
             lambda _service, _now_s: arbitration.TARGETS[:1],
@@ -108,11 +109,15 @@
             [admission_server.AdmissionServer(self.arbiters)]
         )
         await self.server.start(sock=self.socket)
-        linking = admission_peers.Linking(
-            self.own, POOL, self.admission, lambda: self.live, self._record
+        links = admission_peers.Links(
+            self.own,
+            self.all_services,
+            lambda: self.services,
+            lambda: self.live,
+            self._record,
         )
         self._tasks = [
-            asyncio.create_task(admission_peers.run_link(linking)),
+            asyncio.create_task(admission_peers.run_links(links)),
             asyncio.create_task(admission_server.run_ticks(self.arbiters)),
         ]
 
@@ -319,6 +324,19 @@
     run(test)
 
 
+def test_service_that_is_no_longer_configured_has_no_link(run):
+    """Links follow the configuration."""
+
+    async def test(site):
+        node = site.nodes[0]
+        node.services = ()
+        await site.until(lambda: node.arbiter is None)
+        node.services = (arbitration.SERVICE,)
+        await site.until(lambda: node.arbiter is not None)
+
+    run(test)
+
+
 def test_arbiter_is_the_first_by_rendezvous_hash(run):
     """All instances agree on the arbiter without a vote."""
 
--- a/wigeonfall/adapters/admission_peers.py
+++ b/wigeonfall/adapters/admission_peers.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import ssl
 import time
 from typing import TypeAlias
@@ -16,11 +17,13 @@
 from . import admission_streams
 from ..events import Event
 from ..model.instance import Instance
+from ..model.service import Service
 from ..policy.grants import Held
 from ..policy.grants import Pending
 from ..policy import rendezvous
 from ..ports.arbiters import Link
 from ..recorder import Record
+from ..serving.admission import Admission
 from ..serving.admission import holder_of
 from ..serving.admission import LiveInstances
 from ..serving.admission import ServiceAdmission
@@ -31,6 +34,7 @@
 CONNECT_TIMEOUT_S = 0.5
 RETRY_S = 0.2
 RECHECK_S = 2.0
+SERVICES_PERIOD_S = 0.5
 CANDIDATES = 3
 
 _ClientStream: TypeAlias = (
@@ -81,6 +85,55 @@
         return tuple(by_name[name] for name in ranked[:CANDIDATES])
 
 
+@attrs.frozen
+class Links:
+    """What the links of an instance to all pools need.
+
+    Attributes:
+        own: this instance.
+        admission: the waits and grants of this instance.
+        services: returns the services of the configuration in force.
+        live_instances: returns the instances that may be serving.
+        record: records events.
+        context: TLS context for connections to peers, or None.
+    """
+
+    own: Instance
+    admission: Admission
+    services: Callable[[], tuple[Service, ...]]
+    live_instances: LiveInstances
+    record: Record
+    context: ssl.SSLContext | None = None
+
+    def linking(self, service: Service) -> Linking:
+        """Return what the link to the pool of a service needs."""
+        return Linking(
+            self.own,
+            service.name,
+            self.admission.of_service(service),
+            self.live_instances,
+            self.record,
+            self.context,
+        )
+
+
+async def run_links(links: Links) -> None:
+    """Keep a link for each service of the configuration, until cancelled."""
+    tasks: dict[str, asyncio.Task[None]] = {}
+    try:
+        while True:
+            services = {service.name: service for service in links.services()}
+            for name in set(tasks) - services.keys():
+                tasks.pop(name).cancel()
+            for name in services.keys() - set(tasks):
+                linking = links.linking(services[name])
+                tasks[name] = asyncio.create_task(run_link(linking))
+            await asyncio.sleep(SERVICES_PERIOD_S)
+    finally:
+        for task in tasks.values():
+            task.cancel()
+
+
 async def run_link(linking: Linking) -> None:
     """Keep a link to the arbiter of a pool, until cancelled."""
     opened: _Opened | None = None
