Decide on versions, membership, duties and leaving targets

Cause: configuration, membership and the news of leaving targets must converge from lagging and repeated reports, and never go back. Ruled out: a vote or a leader (no coordination service); counting a failed connection at one instance as news for all, since one instance with a broken network would take every target from everybody. Only what a target itself said is spread; a failure holds the target back at the instance that saw it.

--- /dev/null
+++ b/tests/policy/test_membership.py
@@ -0,0 +1,135 @@
+"""Merges, liveness, duties and partners."""
+
+import collections
+
+import attrs
+import hypothesis
+from hypothesis import strategies
+
+from wigeonfall.model.instance import Instance
+from wigeonfall.policy import membership
+from wigeonfall.policy.membership import Duty
+
+members = strategies.builds(
+    membership.Member,
+    strategies.builds(
+        Instance,
+        strategies.just('a'),
+        strategies.just('zac-a'),
+        strategies.sampled_from(['127.0.0.1:1', '127.0.0.1:2']),
+        strategies.integers(0, 2),
+    ),
+    strategies.booleans(),
+    strategies.integers(0, 3),
+)
+name_sets = strategies.sets(
+    strategies.text('abcdefgh', min_size=1), min_size=1, max_size=12
+)
+
+
+def _instance(name: str, incarnation: int = 1) -> Instance:
+    return Instance(name, 'zac-a', '127.0.0.1:1', incarnation)
+
+
+@hypothesis.given(members, members, members)
+def test_merge_laws(
+    a: membership.Member, b: membership.Member, c: membership.Member
+) -> None:
+    merge = membership.merge
+    assert merge(a, b) == merge(b, a)
+    assert merge(a, merge(b, c)) == merge(merge(a, b), c)
+    assert merge(a, a) == a
+
+
+@hypothesis.given(strategies.lists(members, min_size=1))
+def test_leaving_is_final_for_an_incarnation(
+    reports: list[membership.Member],
+) -> None:
+    known = None
+    for now_s, report in enumerate(reports):
+        known = membership.sight(known, report, now_s)
+    latest = known.member.instance.incarnation
+    said = any(r.leaving for r in reports if r.instance.incarnation == latest)
+    assert known.member.leaving == said
+    assert not (said and membership.alive(known, 0, 1))
+
+
+def test_only_growing_heartbeats_keep_an_instance_alive() -> None:
+    member = membership.Member(_instance('a'), beats=5)
+    known = membership.sight(None, member, 100)
+    limit_s = membership.fail_after_s(9)
+    repeated = membership.sight(known, member, 100 + limit_s)
+    assert membership.alive(repeated, 99.9 + limit_s, 9)
+    assert not membership.alive(repeated, 100.1 + limit_s, 9)
+    grown = attrs.evolve(member, beats=6)
+    assert membership.alive(
+        membership.sight(known, grown, 101 + limit_s), 101 + limit_s, 9
+    )
+    assert membership.alive(
+        membership.after_pause(repeated, 50), 150 + limit_s, 9
+    )
+
+
+def test_an_older_incarnation_does_not_bring_heartbeats() -> None:
+    new = membership.Member(_instance('a', 2), beats=1)
+    known = membership.sight(None, new, 100)
+    old = membership.Member(_instance('a', 1), beats=99, leaving=True)
+    assert membership.sight(known, old, 200) == known
+
+
+def test_own_incarnation_goes_above_a_foreign_report() -> None:
+    own = _instance('a', 5)
+    higher = membership.next_incarnation
+    assert higher(own, own) == 5
+    assert higher(own, _instance('a', 4)) == 5
+    assert higher(own, _instance('a', 7)) == 8
+    other = attrs.evolve(own, peers_address='127.0.0.1:9')
+    assert higher(own, other) == 6
+
+
+@hypothesis.given(name_sets, strategies.randoms(use_true_random=False))
+def test_duties_agree_given_equal_views(names: set[str], random) -> None:
+    live = [_instance(name) for name in names]
+    shuffled = list(live)
+    random.shuffle(shuffled)
+    for duty in Duty:
+        holders = membership.holders(duty, 'key', live)
+        assert holders == membership.holders(duty, 'key', shuffled)
+        assert len(holders) == min(membership.HOLDERS[duty], len(names))
+
+
+@hypothesis.given(name_sets)
+def test_a_duty_moves_only_from_the_one_that_goes(names: set[str]) -> None:
+    live = [_instance(name) for name in names]
+    holder = membership.holders(Duty.ARBITER, 'target', live)[0]
+    for gone in live:
+        rest = [i for i in live if i != gone]
+        after = membership.holders(Duty.ARBITER, 'target', rest)
+        assert gone.name == holder or after == (holder,)
+
+
+@hypothesis.given(name_sets)
+def test_each_pair_meets_within_bounded_rounds(names: set[str]) -> None:
+    rounds = -(-len(names) // membership.FANOUT)
+    met: set[str] = set()
+    for number in range(rounds):
+        chosen = membership.partners('self', names, number)
+        assert len(chosen) == min(membership.FANOUT, len(names))
+        assert len(set(chosen)) == len(chosen)
+        met.update(chosen)
+    assert met == names
+
+
+def test_messages_are_bounded_and_leave_none_out() -> None:
+    sightings = [
+        membership.Sighting(membership.Member(_instance(f'i{n}')), n)
+        for n in range(500)
+    ]
+    seen: collections.Counter[str] = collections.Counter()
+    half = membership.BEATS_PER_MESSAGE // 2
+    for number in range(-(-500 // half)):
+        sent = membership.to_report(sightings, number)
+        assert len(sent) <= membership.BEATS_PER_MESSAGE
+        assert 'i499' in [m.instance.name for m in sent]
+        seen.update(member.instance.name for member in sent)
+    assert len(seen) == 500
--- /dev/null
+++ b/tests/policy/test_target_reports.py
@@ -0,0 +1,78 @@
+"""Targets that leave stay out, whatever the list says."""
+
+import hypothesis
+from hypothesis import strategies
+
+from wigeonfall.model.target import Target
+from wigeonfall.model.target import TargetState
+from wigeonfall.policy import target_reports
+from wigeonfall.policy.target_reports import Hold
+from wigeonfall.policy.target_reports import TargetReport
+
+reports = strategies.builds(
+    TargetReport,
+    strategies.just('e1'),
+    strategies.integers(1, 3),
+    strategies.booleans(),
+    strategies.sampled_from(['', 'v1', 'v2']),
+)
+
+
+def _target(incarnation: int, name: str = 'e1', **values: object) -> Target:
+    return Target(name, 'pool', 'zac-a', '127.0.0.1:1', incarnation, **values)
+
+
+def _usable(
+    target: Target, *news: TargetReport, hold: Hold | None = None
+) -> tuple[Target, ...]:
+    known = {report.target: report for report in news}
+    holds = {target.name: hold} if hold else {}
+    return target_reports.usable([target], known, holds, 100)
+
+
+@hypothesis.given(reports, reports, reports)
+def test_merge_laws(a: TargetReport, b: TargetReport, c: TargetReport) -> None:
+    merge = target_reports.merge
+    assert merge(a, b) == merge(b, a)
+    assert merge(a, merge(b, c)) == merge(merge(a, b), c)
+    assert merge(a, a) == a
+
+
+@hypothesis.given(reports, strategies.integers(1, 3))
+def test_leaving_beats_a_stale_list(news: TargetReport, listed: int) -> None:
+    found = _usable(_target(listed), news)
+    if news.leaving and news.incarnation >= listed:
+        assert not found
+    else:
+        assert found[0].incarnation == max(listed, news.incarnation)
+
+
+def test_a_new_incarnation_or_name_is_another_target() -> None:
+    left = TargetReport('e1', 4, True)
+    assert not _usable(_target(4), left)
+    assert _usable(_target(5), left)
+    assert _usable(_target(1, name='e2'), left)
+
+
+def test_list_that_says_leaving_is_believed() -> None:
+    assert not _usable(_target(4, state=TargetState.LEAVING))
+
+
+def test_a_failed_target_comes_back_after_its_hold() -> None:
+    assert not _usable(_target(4), hold=Hold(4, 101))
+    assert _usable(_target(4), hold=Hold(4, 100))
+    assert _usable(_target(5), hold=Hold(4, 101))
+    restarted = TargetReport('e1', 5, False, 'v2')
+    found = _usable(_target(4), restarted, hold=Hold(4, 101))
+    assert found[0].incarnation == 5
+    assert found[0].version == 'v2'
+
+
+def test_news_is_kept_as_long_as_the_list_lags() -> None:
+    left = TargetReport('e1', 4, True)
+    old_s = target_reports.KEPT_S + 1
+    forgettable = target_reports.forgettable
+    assert not forgettable(left, {'e1': _target(4)}, old_s)
+    assert not forgettable(left, {}, old_s - 2)
+    assert forgettable(left, {}, old_s)
+    assert forgettable(left, {'e1': _target(5)}, old_s)
--- /dev/null
+++ b/wigeonfall/policy/configuration.py
@@ -0,0 +1,210 @@
+"""Decisions on configuration versions: which is newest, what changed."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+import attrs
+
+from ..model.revision import Change
+from ..model.revision import Revision
+from ..model.revision import Texts
+from ..model.site_status import Report
+from ..model.site_status import SiteStatus
+
+EARLIER_CHANGES = 32
+REPORT_WAIT_S = 2.0
+
+# Options by section, as written.
+Options = Mapping[str, Mapping[str, str]]
+
+
+@attrs.frozen(order=True)
+class Position:
+    """Place of a revision in the order that all instances agree on.
+
+    Two revisions of one version exist only after the store lost its objects;
+    the id of the change then decides alike everywhere.
+    """
+
+    version: int
+    change_id: str
+
+
+NOTHING_SEEN = Position(0, '')
+
+
+@attrs.frozen
+class Difference:
+    """One option that two configurations do not share.
+
+    Attributes:
+        site: data centre whose overlay holds it, or '' for the base.
+        section: title of the section.
+        option: name of the option, or '' for a section without options.
+        before: old value, or None if it was not there.
+        after: new value, or None if it is gone.
+    """
+
+    site: str
+    section: str
+    option: str
+    before: str | None
+    after: str | None
+
+
+def position(revision: Revision | None) -> Position:
+    """Return the place of a revision; that of none is before all others."""
+    if revision is None:
+        return NOTHING_SEEN
+    return Position(revision.version, revision.change.id)
+
+
+def newest(first: Revision | None, second: Revision | None) -> Revision | None:
+    """Return the later one of two revisions."""
+    return max(first, second, key=position)
+
+
+def next_revision(
+    stored: Revision | None,
+    reported_versions: Iterable[int],
+    texts: Texts,
+    change: Change,
+) -> Revision:
+    """Return the revision that follows the stored one.
+
+    Args:
+        stored: revision in the store, or None.
+        reported_versions: versions that sites report; they exceed the stored
+            one if the store lost its object.
+        texts: the new files.
+        change: the change, whose version is filled in here.
+    """
+    version = max(position(stored).version, *reported_versions, 0) + 1
+    earlier: tuple[Change, ...] = ()
+    if stored is not None:
+        earlier = (stored.change, *stored.earlier)[:EARLIER_CHANGES]
+    change = attrs.evolve(change, version=version)
+    return Revision(texts, change, earlier)
+
+
+def includes(revision: Revision | None, change_id: str) -> bool:
+    """Return whether a change made a revision or one shortly before it."""
+    if revision is None:
+        return False
+    changes = (revision.change, *revision.earlier)
+    return any(change.id == change_id for change in changes)
+
+
+def differences(
+    before: Mapping[str, Options], after: Mapping[str, Options]
+) -> tuple[Difference, ...]:
+    """Return what differs between two configurations.
+
+    Args:
+        before: options of each site, with the base under ''.
+        after: the same of the other configuration.
+
+    Returns:
+        The differences by site, section and option.
+    """
+    found: list[Difference] = []
+    for site in sorted({*before, *after}):
+        old = _flat(before.get(site, {}))
+        new = _flat(after.get(site, {}))
+        for section, option in sorted({*old, *new}):
+            was = old.get((section, option))
+            now = new.get((section, option))
+            if was != now:
+                found.append(Difference(site, section, option, was, now))
+    return tuple(found)
+
+
+def _flat(options: Options) -> dict[tuple[str, str], str]:
+    flat = {
+        (section, option): value
+        for section, values in options.items()
+        for option, value in values.items()
+    }
+    flat.update({(s, ''): '' for s, values in options.items() if not values})
+    return flat
+
+
+def merge_reports(
+    known: Mapping[str, Report], others: Iterable[Report]
+) -> dict[str, Report]:
+    """Return the latest report of each instance."""
+    merged = dict(known)
+    for report in others:
+        mine = merged.get(report.instance)
+        if mine is None or _report_order(report) > _report_order(mine):
+            merged[report.instance] = report
+    return merged
+
+
+def _report_order(report: Report) -> tuple[int, int]:
+    # The earlier time of one version wins: it came into force only once.
+    return report.version, -report.in_force_ms
+
+
+def site_status(
+    data_center: str,
+    version: int,
+    live: Iterable[str],
+    reports: Mapping[str, Report],
+) -> SiteStatus:
+    """Return what a data centre reports on a version.
+
+    Args:
+        data_center: the data centre.
+        version: the version to report on.
+        live: names of its live instances.
+        reports: latest report of each instance.
+    """
+    names = set(live)
+    done = [
+        report
+        for report in reports.values()
+        if report.version == version and report.instance in names
+    ]
+    in_force = sorted(report.instance for report in done)
+    times_ms = [report.in_force_ms for report in done]
+    return SiteStatus(
+        data_center,
+        version,
+        tuple(in_force),
+        tuple(sorted(names.difference(in_force))),
+        min(times_ms, default=0),
+        max(times_ms, default=0),
+    )
+
+
+def status_due(
+    status: SiteStatus,
+    written: SiteStatus | None,
+    since_s: float,
+    now_s: float,
+) -> bool:
+    """Return whether a site's status is to be written now.
+
+    Args:
+        status: what would be written.
+        written: what the store holds, or None.
+        since_s: when this status was first different from the written one.
+        now_s: present time, on the same clock.
+
+    Returns:
+        True at once when the version is in force at the whole site, and
+        after REPORT_WAIT_S when some instances are missing.
+    """
+    if not status.in_force or status.version == 0:
+        return False
+    if written is not None and not _news(status, written):
+        return False
+    return not status.missing or now_s - since_s >= REPORT_WAIT_S
+
+
+def _news(status: SiteStatus, written: SiteStatus) -> bool:
+    if status.version != written.version:
+        return status.version > written.version
+    # Instances that come and go later do not change when it came into force.
+    return bool(written.missing) and not status.missing
--- /dev/null
+++ b/wigeonfall/policy/membership.py
@@ -0,0 +1,188 @@
+"""Decisions on membership: who is alive and who holds which duty.
+
+All instances compute these alike from what they know. What they know lags and
+differs, so two may hold one duty for a while: duties save work, and nothing
+may rest on there being one holder.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+import enum
+
+import attrs
+
+from ..model.instance import Instance
+from . import rendezvous
+
+PERIOD_S = 1.0
+FANOUT = 3
+FAIL_AFTER_S = 5.0
+FAIL_AFTER_PER_INSTANCE_S = 0.05
+PAUSE_S = 3.0
+BEATS_PER_MESSAGE = 64
+
+
+class Duty(enum.Enum):
+    """Work that few instances do for others."""
+
+    WATCHER = 'watcher'
+    PROBER = 'prober'
+    REPORTER = 'reporter'
+    ARBITER = 'arbiter'
+
+
+HOLDERS = {
+    Duty.WATCHER: 2,
+    Duty.PROBER: 1,
+    Duty.REPORTER: 1,
+    Duty.ARBITER: 1,
+}
+
+
+@attrs.frozen
+class Member:
+    """What is known of one instance.
+
+    Attributes:
+        instance: the instance and its incarnation.
+        leaving: whether it said that it stops.
+        beats: heartbeats that it has made in this incarnation.
+    """
+
+    instance: Instance
+    leaving: bool = False
+    beats: int = 0
+
+
+@attrs.frozen
+class Sighting:
+    """A member and when its heartbeats last grew, on our clock."""
+
+    member: Member
+    grew_s: float
+
+
+def merge(first: Member, second: Member) -> Member:
+    """Return all that two reports on an instance of one name tell.
+
+    A later incarnation replaces an earlier one. In one incarnation
+    heartbeats only grow, and leaving is final.
+    """
+    if first.instance.incarnation != second.instance.incarnation:
+        return max(first, second, key=lambda m: m.instance.incarnation)
+    return Member(
+        max(first.instance, second.instance, key=attrs.astuple),
+        first.leaving or second.leaving,
+        max(first.beats, second.beats),
+    )
+
+
+def sight(known: Sighting | None, reported: Member, now_s: float) -> Sighting:
+    """Return what is known of a member after one more report.
+
+    Args:
+        known: what was known, or None.
+        reported: what a peer or the member itself reports.
+        now_s: present time, on the monotonic clock.
+    """
+    if known is None:
+        return Sighting(reported, now_s)
+    merged = merge(known.member, reported)
+    if _progress(merged) > _progress(known.member):
+        return Sighting(merged, now_s)
+    return Sighting(merged, known.grew_s)
+
+
+def _progress(member: Member) -> tuple[int, int]:
+    return member.instance.incarnation, member.beats
+
+
+def fail_after_s(instances: int) -> float:
+    """Return the silence after which an instance counts as failed.
+
+    Heartbeats take longer to reach all instances when there are more.
+    """
+    return FAIL_AFTER_S + FAIL_AFTER_PER_INSTANCE_S * instances
+
+
+def alive(sighting: Sighting, now_s: float, instances: int) -> bool:
+    """Return whether an instance can be given work.
+
+    Args:
+        sighting: what is known of it.
+        now_s: present time, on the monotonic clock.
+        instances: number of instances that are known.
+    """
+    if sighting.member.leaving:
+        return False
+    return now_s - sighting.grew_s <= fail_after_s(instances)
+
+
+def after_pause(sighting: Sighting, pause_s: float) -> Sighting:
+    """Return a sighting that does not count the time we were paused."""
+    return attrs.evolve(sighting, grew_s=sighting.grew_s + pause_s)
+
+
+def next_incarnation(own: Instance, reported: Instance) -> int:
+    """Return the incarnation to use after a report on ourselves.
+
+    A report that is not ours stems from a process of our name that started
+    by a faster clock; we go above it, or nobody would listen to us.
+    """
+    if reported.incarnation < own.incarnation or reported == own:
+        return own.incarnation
+    return reported.incarnation + 1
+
+
+def holders(duty: Duty, key: str, live: Iterable[Instance]) -> tuple[str, ...]:
+    """Return the names of the instances that hold a duty.
+
+    Args:
+        duty: the duty.
+        key: what it is done for, such as a data centre or a target.
+        live: instances that may hold it.
+    """
+    names = [instance.name for instance in live]
+    ranked = rendezvous.ranked(f'{duty.value}/{key}', names)
+    return ranked[: HOLDERS[duty]]
+
+
+def partners(
+    own: str, others: Iterable[str], round_number: int
+) -> tuple[str, ...]:
+    """Return whom to exchange state with in this round.
+
+    Each instance goes through all others in an order of its own, FANOUT at a
+    time, so that each pair meets within a bounded number of rounds.
+
+    Args:
+        own: name of this instance.
+        others: names or addresses of the others.
+        round_number: number of the round, from 0.
+    """
+    ranked = rendezvous.ranked(own, others)
+    count = min(FANOUT, len(ranked))
+    first = round_number * FANOUT
+    return tuple(ranked[(first + n) % len(ranked)] for n in range(count))
+
+
+def to_report(
+    sightings: Sequence[Sighting], round_number: int
+) -> tuple[Member, ...]:
+    """Return the members whose heartbeats go into one message.
+
+    Half of a full message are those that grew last, and the other half goes
+    through all members in turn, so that none is left out for long.
+
+    Args:
+        sightings: all that are known, in a stable order.
+        round_number: number of the message, from 0.
+    """
+    if len(sightings) <= BEATS_PER_MESSAGE:
+        return tuple(sighting.member for sighting in sightings)
+    half = BEATS_PER_MESSAGE // 2
+    fresh = sorted(sightings, key=lambda s: s.grew_s, reverse=True)[:half]
+    first = round_number * half
+    turn = [sightings[(first + n) % len(sightings)] for n in range(half)]
+    chosen = {s.member.instance.name: s.member for s in (*fresh, *turn)}
+    return tuple(chosen.values())
