Hold membership and configuration in each process

Cause: a process ran for ever with the files that it started with and had no view of the other instances but the lagging list. Ruled out: one exchange with every peer on each period (connections and bytes grow with the fleet): each instance keeps three partners, one that takes turns and one silent address. Sending whole texts on each change: a delta against a revision that the peer still keeps goes instead. A flag that asks for whole texts was written, could not be made to matter by any test, since a peer always keeps the revision that it names, and was taken out. Starting to serve with the own files when neither platform nor a peer tells of a later version would put an old configuration back in force: such a process is not ready. Change: Membership, AvailableTargets and ConfigurationState with their topics, the loops, the store at the platform, the wiring; an exchange may be hastened and address a peer; attempts tell of refused and broken connections and of newer incarnations. Commands check, diff, apply, status, targets. Conclusion: each new test was seen to fail with its mechanism off; three mechanisms were not covered at first and got a test.

--- a/tests/policy/test_configuration.py
+++ b/tests/policy/test_configuration.py
@@ -11,6 +11,7 @@
 from wigeonfall.model.revision import Revision
 from wigeonfall.model.revision import Texts
 from wigeonfall.model.site_status import Report
+from wigeonfall.model.site_status import SiteStatus
 from wigeonfall.policy import configuration
 
 changes = strategies.builds(
@@ -116,3 +117,13 @@
     assert due(newer, whole, since_s=100, now_s=100)
     older = attrs.evolve(whole, version=4)
     assert not due(older, whole, since_s=0, now_s=100)
+
+
+def test_a_complete_status_is_not_replaced() -> None:
+    whole = SiteStatus('zac-a', 5, 9)
+    partly = SiteStatus('zac-a', 5, 8, ('x',))
+    assert configuration.adds_to([], partly)
+    assert configuration.adds_to([partly], whole)
+    assert not configuration.adds_to([partly], partly)
+    assert not configuration.adds_to([whole], whole)
+    assert configuration.adds_to([whole], attrs.evolve(partly, version=6))
--- a/wigeonfall/cli.py
+++ b/wigeonfall/cli.py
@@ -1,6 +1,5 @@
 """The command line."""
 
-import enum
 import json
 import pathlib
 from typing import Annotated
@@ -15,20 +14,13 @@
 from . import settings as settings_module
 from . import timeline
 from . import VERSION
+from .commands.common import ExitCode
+from .commands.common import Output
+from .commands import configuration as configuration_commands
 from .serving import process
 
-EXIT_FAULT = 2
-EXIT_UNREACHABLE = 3
-
-
-class Output(enum.Enum):
-    """Form of what a command prints."""
-
-    TABLE = 'table'
-    JSON = 'json'
-
-
 app = typer.Typer(no_args_is_help=True, help='Schedule requests to engines.')
+configuration_commands.register(app)
 
 SettingsFile = Annotated[
     pathlib.Path, typer.Option(help='INI file of the process.')
@@ -55,7 +47,7 @@
         made = process.make_process(process_settings, configuration.ok_value)
     except errors.WigeonfallError as error:
         typer.echo(str(error), err=True)
-        raise typer.Exit(EXIT_FAULT) from error
+        raise typer.Exit(ExitCode.FAULT) from error
     process.run(made)
 
 
@@ -75,7 +67,7 @@
         read = [_read_events(source, key) for source in sources]
     except timeline.TimelineError as error:
         typer.echo(str(error), err=True)
-        raise typer.Exit(EXIT_UNREACHABLE) from error
+        raise typer.Exit(ExitCode.UNREACHABLE) from error
     for entry in timeline.merge(read):
         if output is Output.JSON:
             typer.echo(json.dumps(recorder.to_json(entry)))
@@ -99,7 +91,7 @@
 def _fail(faults: ini.Faults) -> NoReturn:
     for fault in faults:
         typer.echo(str(fault), err=True)
-    raise typer.Exit(EXIT_FAULT)
+    raise typer.Exit(ExitCode.FAULT)
 
 
 def main() -> None:
--- /dev/null
+++ b/wigeonfall/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands that operators use on the whole fleet."""
--- a/wigeonfall/configuration_file.py
+++ b/wigeonfall/configuration_file.py
@@ -14,6 +14,8 @@
 from .model.service import Service
 from .model.tier import Tier
 
+Outcome = Result[Configuration, ini.Faults]
+
 _NAME = re.compile(r'^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$')
 _KEY_SHA256 = re.compile(r'^[0-9a-f]{64}$')
 
@@ -65,7 +67,7 @@
     overlay: ini.Source | None,
     data_center: str,
     version: int,
-) -> Result[Configuration, ini.Faults]:
+) -> Outcome:
     """Check the configuration of one data centre as a whole.
 
     Args:
--- a/wigeonfall/events.py
+++ b/wigeonfall/events.py
@@ -30,6 +30,13 @@
 
     CONFIGURATION_IN_FORCE = (501, logging.INFO, 'configuration in force')
 
+    CONFIGURATION_REFUSED = (502, logging.ERROR, 'configuration refused')
+    CONFIGURATION_REPORTED = (503, logging.INFO, 'site status written')
+    INSTANCES_CHANGED = (510, logging.INFO, 'live instances changed')
+    INCARNATION_RAISED = (511, logging.WARNING, 'own name used by another')
+    TARGET_LEAVING = (520, logging.INFO, 'target leaves')
+    TARGET_HELD_BACK = (521, logging.WARNING, 'target held back')
+
     ROLLOUT_MOVED = (601, logging.INFO, 'rollout moved')
 
     PLATFORM_UNREACHABLE = (701, logging.WARNING, 'platform unreachable')
--- a/wigeonfall/model/site_status.py
+++ b/wigeonfall/model/site_status.py
@@ -25,7 +25,7 @@
     Attributes:
         data_center: the data centre.
         version: version that it reports on.
-        in_force: instances that run with it.
+        in_force: number of live instances that run with it.
         missing: live instances that do not run with it yet.
         first_ms: when the first instance ran with it, in milliseconds since
             the epoch.
@@ -34,7 +34,7 @@
 
     data_center: str
     version: int
-    in_force: tuple[str, ...] = ()
+    in_force: int = 0
     missing: tuple[str, ...] = ()
     first_ms: int = 0
     last_ms: int = 0
--- a/wigeonfall/policy/configuration.py
+++ b/wigeonfall/policy/configuration.py
@@ -166,13 +166,12 @@
         for report in reports.values()
         if report.version == version and report.instance in names
     ]
-    in_force = sorted(report.instance for report in done)
     times_ms = [report.in_force_ms for report in done]
     return SiteStatus(
         data_center,
         version,
-        tuple(in_force),
-        tuple(sorted(names.difference(in_force))),
+        len(done),
+        tuple(sorted(names.difference(r.instance for r in done))),
         min(times_ms, default=0),
         max(times_ms, default=0),
     )
@@ -208,3 +207,13 @@
         return status.version > written.version
     # Instances that come and go later do not change when it came into force.
     return bool(written.missing) and not status.missing
+
+
+def adds_to(history: Iterable[SiteStatus], status: SiteStatus) -> bool:
+    """Return whether a status tells more than those already written.
+
+    Two reporters may write on one version, and a later one would give the
+    times of instances that were started since.
+    """
+    same = [one for one in history if one.version == status.version]
+    return not same or bool(same[0].missing) and not status.missing
--- a/wigeonfall/policy/membership.py
+++ b/wigeonfall/policy/membership.py
@@ -10,16 +10,20 @@
 import enum
 
 import attrs
+import xxhash
 
 from ..model.instance import Instance
 from . import rendezvous
 
-PERIOD_S = 1.0
+BEAT_S = 1.0
+TURN_S = 10.0
 FANOUT = 3
 FAIL_AFTER_S = 5.0
 FAIL_AFTER_PER_INSTANCE_S = 0.05
 PAUSE_S = 3.0
 BEATS_PER_MESSAGE = 64
+LIST_PERIOD_S = 1.0
+LIST_READS_PER_S = 50.0
 
 
 class Duty(enum.Enum):
@@ -31,6 +35,7 @@
     ARBITER = 'arbiter'
 
 
+SITE_DUTIES = (Duty.WATCHER, Duty.PROBER, Duty.REPORTER)
 HOLDERS = {
     Duty.WATCHER: 2,
     Duty.PROBER: 1,
@@ -148,22 +153,49 @@
 
 
 def partners(
-    own: str, others: Iterable[str], round_number: int
+    own: str, live: Iterable[str], silent: Iterable[str], now_s: float
 ) -> tuple[str, ...]:
-    """Return whom to exchange state with in this round.
+    """Return the addresses to exchange state with now.
 
-    Each instance goes through all others in an order of its own, FANOUT at a
-    time, so that each pair meets within a bounded number of rounds.
+    The first FANOUT live ones in an order of our own stay, so that few
+    connections are opened. One more takes turns, which joins groups that
+    would else not meet, and one of the silent ones is tried in turn, which
+    ends a cut between them and us.
 
     Args:
-        own: name of this instance.
-        others: names or addresses of the others.
-        round_number: number of the round, from 0.
+        own: address of this instance.
+        live: addresses of the other live instances.
+        silent: further addresses at which an instance may be.
+        now_s: present time, on the monotonic clock.
+    """
+    turn = int(now_s / TURN_S)
+    ranked = rendezvous.ranked(own, live)
+    chosen = ranked[:FANOUT]
+    for rest in (ranked[FANOUT:], rendezvous.ranked(own, silent)):
+        if rest:
+            chosen += (rest[turn % len(rest)],)
+    return chosen
+
+
+def list_period_s(instances: int) -> float:
+    """Return the time between two reads of the platform's live list.
+
+    All instances read it, and the reads of all together are bounded.
     """
-    ranked = rendezvous.ranked(own, others)
-    count = min(FANOUT, len(ranked))
-    first = round_number * FANOUT
-    return tuple(ranked[(first + n) % len(ranked)] for n in range(count))
+    return max(LIST_PERIOD_S, instances / LIST_READS_PER_S)
+
+
+def digest(member: Member) -> int:
+    """Return a number that stands for all of a member but its heartbeats."""
+    instance = member.instance
+    fields = (
+        instance.name,
+        instance.data_center,
+        instance.peers_address,
+        str(instance.incarnation),
+        str(member.leaving),
+    )
+    return xxhash.xxh64_intdigest('\0'.join(fields).encode())
 
 
 def to_report(
--- a/wigeonfall/policy/target_reports.py
+++ b/wigeonfall/policy/target_reports.py
@@ -8,7 +8,7 @@
 from ..model.target import Target
 from ..model.target import TargetState
 
-HOLD_S = 5.0
+HOLD_S = 2.0
 KEPT_S = 600.0
 
 
--- a/wigeonfall/ports/peers.py
+++ b/wigeonfall/ports/peers.py
@@ -20,8 +20,11 @@
         merge: takes encoded state from a peer, given the sender's name and
             the present time in seconds since the epoch; raises ValueError on
             state that it cannot read.
+        snapshot_for: returns the state for the peer of a name, '' if it is
+            not known yet; used in place of snapshot where there is one.
     """
 
     name: str
     snapshot: Callable[[float], bytes]
     merge: Callable[[bytes, str, float], None]
+    snapshot_for: Callable[[str, float], bytes] | None = None
--- a/wigeonfall/serving/attempts.py
+++ b/wigeonfall/serving/attempts.py
@@ -58,6 +58,8 @@
         leaving: takes note that a target takes no new work.
         observe: takes evidence on a target.
         record: records events.
+        failed: takes note that a target refused or broke a connection.
+        met: takes note of the incarnation and version in an answer.
     """
 
     targets: targets_port.Targets
@@ -67,6 +69,8 @@
     leaving: Callable[[Target, float], None]
     observe: Callable[[Outcome, float], None]
     record: Record
+    failed: Callable[[Target, float], None] = lambda _target, _now_s: None
+    met: Callable[[Target, float], None] = lambda _target, _now_s: None
 
 
 @attrs.define
@@ -139,9 +143,25 @@
         note_failure(attempts, request, attempt.id, failed, began_s)
         return Err(failed)
     first_byte_s = time.monotonic() - began_s
+    _note_met(attempts, grant.target, opened.ok_value)
     return Ok(Try(attempt.id, grant, opened.ok_value, began_s, first_byte_s))
 
 
+def _note_met(
+    attempts: Attempts, target: Target, answer: TargetAnswer
+) -> None:
+    headers = {name.lower(): value for name, value in answer.headers}
+    incarnation = headers.get('x-incarnation', '')
+    if not incarnation.isdecimal() or int(incarnation) == target.incarnation:
+        return
+    met = attrs.evolve(
+        target,
+        incarnation=int(incarnation),
+        version=headers.get('x-version', ''),
+    )
+    attempts.met(met, time.monotonic())
+
+
 def _attempt(
     request: Request,
     target: Target,
@@ -220,6 +240,8 @@
     if error.kind is AttemptErrorKind.LEAVING:
         attempts.leaving(target, now_s)
         return
+    if error.kind in (AttemptErrorKind.NOT_SENT, AttemptErrorKind.BROKEN):
+        attempts.failed(target, now_s)
     if error.kind in (AttemptErrorKind.SILENT, AttemptErrorKind.BROKEN):
         attempts.targets.forget(target.address)
     if error.ran or error.kind is AttemptErrorKind.NOT_SENT:
--- /dev/null
+++ b/wigeonfall/serving/control.py
@@ -0,0 +1,117 @@
+"""Membership and configuration of one process, put together."""
+
+import threading
+import time
+
+import attrs
+
+from .. import settings as settings_module
+from ..adapters import configuration_store
+from ..adapters import configuration_topic
+from ..adapters import membership_topic
+from . import configuration_loops
+from ..model.configuration import Configuration
+from ..model.instance import Instance
+from ..policy import membership as membership_policy
+from ..ports.platform import LiveList
+from ..ports.platform import Platform
+from ..recorder import Record
+from .configuration import ConfigurationState
+from .exchange import Exchange
+from .membership import Membership
+
+
+@attrs.frozen
+class Control:
+    """What a process shares with the others to act alike.
+
+    Attributes:
+        membership: live instances, duties and usable targets.
+        configuration: the configuration in force.
+        loops: what keeps the configuration up to date.
+    """
+
+    membership: Membership
+    configuration: ConfigurationState
+    loops: configuration_loops.Loops
+
+    def partner_addresses(self, _now_unix_s: float) -> tuple[str, ...]:
+        """Return the addresses of the peers to swap topics with now."""
+        return self.membership.partner_addresses(time.monotonic())
+
+    def take_list(self, listed: LiveList) -> None:
+        """Take in the platform's live list."""
+        now_s = time.monotonic()
+        self.membership.take_list(listed, now_s)
+        live = self.membership.live_instances(now_s)
+        self.configuration.forget_peers(i.name for i in live)
+
+    def list_period_s(self) -> float:
+        """Return the time between two reads of the live list."""
+        live = self.membership.live_instances(time.monotonic())
+        return membership_policy.list_period_s(len(live))
+
+    def page(self) -> dict[str, object]:
+        """Return what operators see of membership and configuration."""
+        now_s = time.monotonic()
+        position = self.configuration.position
+        return {
+            'instance': self.membership.own.name,
+            'live_instances': [
+                instance.name
+                for instance in self.membership.live_instances(now_s)
+            ],
+            'duties': [
+                duty.value
+                for duty in membership_policy.SITE_DUTIES
+                if self.membership.holds(duty, now_s)
+            ],
+            'version': self.configuration.current.version,
+            'version_seen': position.version,
+            'change_id': position.change_id,
+            'confirmed': self.configuration.confirmed,
+        }
+
+
+def make_control(
+    own: Instance,
+    settings: settings_module.ProcessSettings,
+    initial: Configuration,
+    platform: Platform,
+    exchange: Exchange,
+    record: Record,
+) -> Control:
+    """Put the parts together and add their topics to the exchange.
+
+    Args:
+        own: this instance.
+        settings: settings of the process.
+        initial: configuration of the process's own files.
+        platform: calls to the platform.
+        exchange: exchanges topics with peers.
+        record: records events.
+    """
+    membership = Membership(
+        own,
+        settings.peers.addresses,
+        record,
+        time.monotonic(),
+        exchange.hasten,
+    )
+    configuration = ConfigurationState(
+        own.name, own.data_center, initial, record, exchange.hasten
+    )
+    exchange.topics += (
+        membership_topic.make_topic(membership),
+        configuration_topic.make_topic(
+            configuration, own.data_center, membership.data_center_of
+        ),
+    )
+    loops = configuration_loops.Loops(
+        configuration,
+        configuration_store.make_store(platform),
+        membership,
+        record,
+        threading.Event(),
+    )
+    return Control(membership, configuration, loops)
--- a/wigeonfall/serving/exchange.py
+++ b/wigeonfall/serving/exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 import ssl
 import time
 
@@ -16,6 +17,7 @@
 from ..recorder import Recorder
 
 PERIOD_S = 0.5
+GATHER_S = 0.005
 
 PeerAddresses = Callable[[float], tuple[str, ...]]
 
@@ -30,18 +32,30 @@
         topics: topics by name.
         seen: called with each sender of a state and the present time in
             seconds since the epoch.
+        names: name of the peer last met at each address.
+        wakes: ends the pause of the task of each address.
+        loop: the loop that the tasks run on, once they do.
     """
 
     own: Instance
     recorder: Recorder
     topics: tuple[Topic, ...] = ()
     seen: Callable[[Instance, float], None] = lambda _peer, _now_s: None
+    names: dict[str, str] = attrs.field(factory=dict)
+    wakes: dict[str, asyncio.Event] = attrs.field(factory=dict)
+    loop: asyncio.AbstractEventLoop | None = None
 
-    def state(self, now_unix_s: float) -> exchange_pb2.State:
-        """Return the message that carries our topics."""
+    def state(self, peer: str, now_unix_s: float) -> exchange_pb2.State:
+        """Return the message that carries our topics.
+
+        Args:
+            peer: name of the peer, '' if it is not known.
+            now_unix_s: present time in seconds since the epoch.
+        """
         stamp = self.recorder.clock.tick(now_unix_s)
         payloads = {
-            topic.name: topic.snapshot(now_unix_s) for topic in self.topics
+            topic.name: _payload(topic, peer, now_unix_s)
+            for topic in self.topics
         }
         return peers_adapter.encode_state(self.own, stamp, payloads)
 
@@ -74,7 +88,23 @@
         """Merge a peer's state and return our own."""
         now_unix_s = time.time()
         self.merge(state, now_unix_s)
-        return self.state(now_unix_s)
+        return self.state(state.instance, now_unix_s)
+
+    def hasten(self) -> None:
+        """Swap with the present peers at once, as there is news."""
+        loop = self.loop
+        if loop is not None:
+            loop.call_soon_threadsafe(self._wake_all)
+
+    def _wake_all(self) -> None:
+        for wake in self.wakes.values():
+            wake.set()
+
+
+def _payload(topic: Topic, peer: str, now_unix_s: float) -> bytes:
+    if topic.snapshot_for is not None:
+        return topic.snapshot_for(peer, now_unix_s)
+    return topic.snapshot(now_unix_s)
 
 
 async def run(
@@ -91,6 +121,7 @@
         context: TLS context for connections to peers, or None.
     """
     tasks: dict[str, asyncio.Task[None]] = {}
+    exchange.loop = asyncio.get_running_loop()
     try:
         while True:
             wanted = set(addresses(time.time()))
@@ -110,6 +141,7 @@
     exchange: Exchange, address: str, context: ssl.SSLContext | None
 ) -> None:
     channel = peers_adapter.PeerChannel(address, context)
+    wake = exchange.wakes[address] = asyncio.Event()
     reachable = True
     try:
         while True:
@@ -117,18 +149,29 @@
             if now_reachable != reachable:
                 reachable = now_reachable
                 _record_change(exchange, address, reachable)
-            await asyncio.sleep(PERIOD_S)
+            await _pause(wake)
     finally:
+        exchange.wakes.pop(address, None)
+        exchange.names.pop(address, None)
         channel.close()
 
 
+async def _pause(wake: asyncio.Event) -> None:
+    with contextlib.suppress(TimeoutError):
+        await asyncio.wait_for(wake.wait(), PERIOD_S)
+    wake.clear()
+    await asyncio.sleep(GATHER_S)
+
+
 async def _swap_once(
     exchange: Exchange, channel: peers_adapter.PeerChannel
 ) -> bool:
     try:
-        answer = await channel.swap(exchange.state(time.time()))
+        peer = exchange.names.get(channel.address, '')
+        answer = await channel.swap(exchange.state(peer, time.time()))
     except peers_adapter.PeerError:
         return False
+    exchange.names[channel.address] = answer.instance
     exchange.merge(answer, time.time())
     return True
 
--- /dev/null
+++ b/wigeonfall/serving/membership.py
@@ -0,0 +1,336 @@
+"""The membership of one process: live instances and their duties."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import threading
+import time
+
+import attrs
+
+from ..events import Event
+from ..model.instance import Instance
+from ..policy import membership as policy
+from ..policy.membership import Duty
+from ..policy.membership import Member
+from ..policy.membership import Sighting
+from ..policy.target_reports import TargetReport
+from ..ports.platform import LiveList
+from ..recorder import Record
+from .available_targets import AvailableTargets
+
+NEWS_S = 3.0
+FORGET_S = 600.0
+MEMBERS_PER_MESSAGE = 16
+WANTED_PER_MESSAGE = 16
+
+
+@attrs.frozen
+class Message:
+    """What one instance tells another.
+
+    Attributes:
+        own: the sender.
+        members: members that the receiver asked for or that are new.
+        beats: heartbeats by digest of a member.
+        wanted: digests that the sender cannot resolve.
+        targets: news of targets.
+    """
+
+    own: Member
+    members: tuple[Member, ...] = ()
+    beats: tuple[tuple[int, int], ...] = ()
+    wanted: tuple[int, ...] = ()
+    targets: tuple[TargetReport, ...] = ()
+
+
+class Membership:
+    """What one process knows of instances and targets.
+
+    Attributes:
+        targets: the targets that may get new work.
+    """
+
+    def __init__(
+        self,
+        own: Instance,
+        seeds: Iterable[str],
+        record: Record,
+        now_s: float,
+        hasten: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Start knowing only ourselves.
+
+        Args:
+            own: this instance.
+            seeds: addresses at which others are first looked for.
+            record: records events.
+            now_s: present time, on the monotonic clock.
+            hasten: asks for an exchange with peers at once.
+        """
+        self._lock = threading.RLock()
+        self._own = Member(own)
+        self._seeds = frozenset(seeds)
+        self.targets = AvailableTargets(record, hasten)
+        self._record = record
+        self._hasten = hasten
+        self._started_s = now_s
+        self._noted_s = now_s
+        self._sightings: dict[str, Sighting] = {}
+        self._by_digest: dict[int, Member] = {}
+        self._new_s: dict[int, float] = {}
+        self._alive: frozenset[str] = frozenset()
+        self._wanted: set[int] = set()
+        self._wanted_by: dict[str, tuple[int, ...]] = {}
+        self._messages = 0
+        self._listed: dict[str, Sighting] = {}
+
+    @property
+    def own(self) -> Instance:
+        """This instance."""
+        return self._own.instance
+
+    def leave(self) -> None:
+        """Tell the others that this instance stops."""
+        with self._lock:
+            self._own = attrs.evolve(self._own, leaving=True)
+        self._hasten()
+
+    def live_instances(self, now_s: float) -> tuple[Instance, ...]:
+        """Return the instances that can be given work, by name."""
+        with self._lock:
+            self._note_time(now_s)
+            live = {
+                name: sighting.member.instance
+                for name, sighting in self._sightings.items()
+                if self._is_alive(sighting, now_s)
+            }
+            for name, listed in self._listed.items():
+                if name not in self._sightings and self._is_alive(
+                    listed, now_s
+                ):
+                    live[name] = listed.member.instance
+            if not self._own.leaving:
+                live[self.own.name] = self.own
+            self._note_alive(frozenset(live))
+        return tuple(live[name] for name in sorted(live))
+
+    def live_in_site(self, now_s: float) -> tuple[Instance, ...]:
+        """Return the live instances of our data centre."""
+        return tuple(
+            instance
+            for instance in self.live_instances(now_s)
+            if instance.data_center == self.own.data_center
+        )
+
+    def data_center_of(self, name: str) -> str:
+        """Return the data centre of an instance, '' if it is not known."""
+        sighting = self._sightings.get(name)
+        return sighting.member.instance.data_center if sighting else ''
+
+    def holders(
+        self, duty: Duty, now_s: float, key: str = ''
+    ) -> tuple[str, ...]:
+        """Return the names of the instances that hold a duty.
+
+        Args:
+            duty: the duty.
+            now_s: present time, on the monotonic clock.
+            key: the target of an arbiter; other duties are held for our
+                data centre.
+        """
+        if duty is Duty.ARBITER:
+            return policy.holders(duty, key, self.live_instances(now_s))
+        site = self.own.data_center
+        return policy.holders(duty, site, self.live_in_site(now_s))
+
+    def holds(self, duty: Duty, now_s: float, key: str = '') -> bool:
+        """Return whether this instance holds a duty."""
+        return self.own.name in self.holders(duty, now_s, key)
+
+    def partner_addresses(self, now_s: float) -> tuple[str, ...]:
+        """Return the addresses to exchange state with now."""
+        own = self.own.peers_address
+        live = {i.peers_address for i in self.live_instances(now_s)}
+        with self._lock:
+            listed = {
+                listed.member.instance.peers_address
+                for listed in self._listed.values()
+            }
+            known = {
+                sighting.member.instance.peers_address
+                for sighting in self._sightings.values()
+            }
+        others = (self._seeds | listed | known) - live - {own}
+        return policy.partners(own, live - {own}, others, now_s)
+
+    def message(self, peer: str, now_s: float) -> Message:
+        """Return what to tell a peer.
+
+        Args:
+            peer: name of the peer, '' if it is not known.
+            now_s: present time, on the monotonic clock.
+        """
+        with self._lock:
+            self._note_time(now_s)
+            self._messages += 1
+            current = [
+                sighting
+                for sighting in self._sightings.values()
+                if now_s - sighting.grew_s <= self._fail_after_s()
+            ]
+            chosen = policy.to_report(current, self._messages)
+            return Message(
+                self._own_member(now_s),
+                self._members_for(peer, now_s),
+                tuple((policy.digest(one), one.beats) for one in chosen),
+                tuple(self._wanted)[:WANTED_PER_MESSAGE],
+                self.targets.reports(now_s),
+            )
+
+    def merge(self, message: Message, sender: str, now_s: float) -> None:
+        """Take in what a peer told.
+
+        Args:
+            message: what it told.
+            sender: its name.
+            now_s: present time, on the monotonic clock.
+        """
+        with self._lock:
+            self._note_time(now_s)
+            news = False
+            for member in (message.own, *message.members):
+                news |= self._sight(member, now_s)
+            for digest, beats in message.beats:
+                known = self._by_digest.get(digest)
+                if known is not None:
+                    self._sight(attrs.evolve(known, beats=beats), now_s)
+                elif digest != policy.digest(self._own):
+                    self._wanted.add(digest)
+            self._wanted_by[sender] = message.wanted
+        news |= self.targets.merge(message.targets, now_s)
+        if news:
+            self._hasten()
+
+    def take_list(self, listed: LiveList, now_s: float) -> None:
+        """Take in the platform's live list.
+
+        Args:
+            listed: the list, which lags.
+            now_s: present time, on the monotonic clock.
+        """
+        with self._lock:
+            self._note_time(now_s)
+            before = self._listed
+            self._listed = {
+                instance.name: policy.sight(
+                    before.get(instance.name), Member(instance), now_s
+                )
+                for instance in listed.instances
+                if instance.name != self.own.name
+            }
+            self._forget(now_s)
+        self.targets.take_list(listed.targets, now_s)
+
+    def _sight(self, member: Member, now_s: float) -> bool:
+        name = member.instance.name
+        if name == self.own.name:
+            self._defend(member)
+            return False
+        known = self._sightings.get(name)
+        sighting = policy.sight(known, member, now_s)
+        self._sightings[name] = sighting
+        digest = policy.digest(sighting.member)
+        self._wanted.discard(policy.digest(member))
+        self._by_digest.setdefault(policy.digest(member), member)
+        if digest in self._new_s:
+            return False
+        self._by_digest[digest] = sighting.member
+        self._new_s[digest] = now_s
+        return True
+
+    def _defend(self, member: Member) -> None:
+        incarnation = policy.next_incarnation(self.own, member.instance)
+        if incarnation == self.own.incarnation:
+            return
+        instance = attrs.evolve(self.own, incarnation=incarnation)
+        self._own = attrs.evolve(self._own, instance=instance)
+        self._record(
+            Event.INCARNATION_RAISED,
+            incarnation=incarnation,
+            other_address=member.instance.peers_address,
+        )
+
+    def _own_member(self, now_s: float) -> Member:
+        beats = int((now_s - self._started_s) / policy.BEAT_S)
+        return attrs.evolve(self._own, beats=beats)
+
+    def _members_for(self, peer: str, now_s: float) -> tuple[Member, ...]:
+        wanted = self._wanted_by.pop(peer, ())
+        new = [
+            digest
+            for digest, since_s in reversed(self._new_s.items())
+            if now_s - since_s <= NEWS_S
+        ]
+        digests = dict.fromkeys((*wanted, *new))
+        found = [
+            self._by_digest[digest]
+            for digest in digests
+            if digest in self._by_digest
+        ]
+        return tuple(found[:MEMBERS_PER_MESSAGE])
+
+    def _fail_after_s(self) -> float:
+        return policy.fail_after_s(len(self._sightings) + 1)
+
+    def _is_alive(self, sighting: Sighting, now_s: float) -> bool:
+        return policy.alive(sighting, now_s, len(self._sightings) + 1)
+
+    def _note_alive(self, alive: frozenset[str]) -> None:
+        if alive == self._alive:
+            return
+        self._record(
+            Event.INSTANCES_CHANGED,
+            came=sorted(alive - self._alive),
+            went=sorted(self._alive - alive),
+        )
+        self._alive = alive
+
+    def _note_time(self, now_s: float) -> None:
+        pause_s = now_s - self._noted_s
+        self._noted_s = max(now_s, self._noted_s)
+        if pause_s <= policy.PAUSE_S:
+            return
+        for sightings in (self._sightings, self._listed):
+            for name, sighting in sightings.items():
+                sightings[name] = policy.after_pause(sighting, pause_s)
+
+    def _forget(self, now_s: float) -> None:
+        gone = {
+            name
+            for name, sighting in self._sightings.items()
+            if now_s - sighting.grew_s > FORGET_S
+        }
+        for name in gone:
+            del self._sightings[name]
+        forgotten = [
+            digest
+            for digest, member in self._by_digest.items()
+            if member.instance.name not in self._sightings
+            or now_s - self._new_s.get(digest, 0) > FORGET_S
+            and self._replaced(member)
+        ]
+        for digest in forgotten:
+            del self._by_digest[digest]
+            self._new_s.pop(digest, None)
+        self._wanted.clear()
+
+    def _replaced(self, member: Member) -> bool:
+        current = self._sightings[member.instance.name].member.instance
+        return member.instance.incarnation < current.incarnation
+
+
+def make_membership(
+    own: Instance, seeds: Iterable[str], record: Record
+) -> Membership:
+    """Return the membership of a process that starts now."""
+    return Membership(own, seeds, record, time.monotonic())
--- a/wigeonfall/serving/process.py
+++ b/wigeonfall/serving/process.py
@@ -23,6 +23,8 @@
 from ..adapters import platform as platform_adapter
 from ..adapters import targets as targets_adapter
 from ..adapters import tls
+from . import configuration_loops
+from . import control as control_module
 from ..events import Event
 from . import exchange as exchange_module
 from . import handling as handling_module
@@ -34,6 +36,8 @@
 from ..ports.callers import Call
 from .attempts import Attempts
 
+POLL_S = 0.5
+
 
 class StartError(errors.WigeonfallError):
     """A process cannot start with its settings."""
@@ -50,6 +54,7 @@
     exchange: exchange_module.Exchange
     peers_contexts: tuple[ssl.SSLContext, ssl.SSLContext] | None
     live: live_list.LiveListReader
+    control: control_module.Control
     ready: threading.Event
     stopping: threading.Event
 
@@ -74,23 +79,30 @@
     platform = platform_adapter.make_platform(settings.platform.address)
     registry = prometheus_client.CollectorRegistry()
     record = metrics.counting(recorder.record, metrics.Metrics(registry))
-    live = live_list.LiveListReader(platform, record)
-    handling = _make_handling(settings, configuration, record, live)
+    exchange = exchange_module.Exchange(own, recorder)
+    control = control_module.make_control(
+        own, settings, configuration, platform, exchange, record
+    )
+    live = live_list.LiveListReader(
+        platform, record, control.take_list, control.list_period_s
+    )
+    handling = _make_handling(settings, record, control)
     ready = threading.Event()
     return Process(
         settings=settings,
         recorder=recorder,
         callers_server=_make_callers_server(settings, handling),
         operators_server=_make_operators_server(
-            settings, recorder, ready, registry
+            settings, recorder, ready, registry, control
         ),
-        exchange=exchange_module.Exchange(own, recorder),
+        exchange=exchange,
         peers_contexts=tls.make_peers_contexts(
             settings.tls.peers_certificate_file,
             settings.tls.peers_key_file,
             settings.tls.peers_authority_file,
         ),
         live=live,
+        control=control,
         ready=ready,
         stopping=threading.Event(),
     )
@@ -98,22 +110,24 @@
 
 def _make_handling(
     settings: settings_module.ProcessSettings,
-    configuration: Configuration,
     record: recorder_module.Record,
-    live: live_list.LiveListReader,
+    control: control_module.Control,
 ) -> handling_module.Handling:
-    admission = local_admission.LocalAdmission(live.live_targets)
+    available = control.membership.targets
+    admission = local_admission.LocalAdmission(available.live)
     attempts = Attempts(
         targets=targets_adapter.make_targets(),
         acquire=admission.acquire,
         may_retry=lambda _request, _now_s: True,
         succeeded=lambda _request, _now_s: None,
-        leaving=live.target_leaving,
+        leaving=available.leaving,
+        failed=available.failed,
+        met=available.met,
         observe=lambda _outcome, _now_s: None,
         record=record,
     )
     return handling_module.Handling(
-        configuration=lambda: configuration,
+        configuration=lambda: control.configuration.current,
         attempts=attempts,
         check_limits=lambda _customer, _now_s: Ok(None),
         choose_version=lambda request, _now_s: request,
@@ -152,6 +166,7 @@
     recorder: recorder_module.Recorder,
     ready: threading.Event,
     registry: prometheus_client.CollectorRegistry,
+    control: control_module.Control,
 ) -> Any:
     def events() -> list[dict[str, Any]]:
         return [recorder_module.to_json(entry) for entry in recorder.entries()]
@@ -164,7 +179,7 @@
         raise StartError(f'operators key: {error}') from error
     shown = operators.Operators(
         ready=ready.is_set,
-        pages={'/events': events},
+        pages={'/events': events, '/control': control.page},
         key=key,
         registry=registry,
     )
@@ -190,8 +205,10 @@
     server = loop.submit(_serve_peers(process)).result()
     process.live.start()
     loop.submit(_swap_with_peers(process))
+    configuration_loops.start(process.control.loops)
     callers_address = process.callers_server.begin()
     operators_address = operators.start(process.operators_server)
+    _wait_until_confirmed(process)
     process.ready.set()
     record(
         Event.PROCESS_READY,
@@ -205,20 +222,17 @@
     record(Event.STOP_FINISHED)
 
 
-def _peer_addresses(process: Process) -> exchange_module.PeerAddresses:
-    seeds = process.settings.peers.addresses
-
-    def addresses(now_unix_s: float) -> tuple[str, ...]:
-        listed = process.live.peers_addresses(now_unix_s)
-        return tuple({*seeds, *listed})
-
-    return addresses
+def _wait_until_confirmed(process: Process) -> None:
+    """Wait until no accepted configuration can be missing here."""
+    while not process.control.configuration.wait_until_confirmed(POLL_S):
+        if process.stopping.is_set():
+            return
 
 
 async def _swap_with_peers(process: Process) -> None:
     contexts = process.peers_contexts
     client_context = contexts[1] if contexts else None
-    addresses = _peer_addresses(process)
+    addresses = process.control.partner_addresses
     await exchange_module.run(process.exchange, addresses, client_context)
 
 
@@ -237,6 +251,7 @@
     stop = process.settings.stop
     process.recorder.record(Event.STOP_BEGUN)
     process.ready.clear()
+    process.control.membership.leave()
     time.sleep(stop.settle_s)
     process.callers_server.drain(stop.quiet_s)
     process.operators_server.stop()
