--- a/wigeonfall/serving/process.py
+++ b/wigeonfall/serving/process.py
@@ -1,221 +1,24 @@
-"""One entry instance: its parts, put together, started and stopped."""
+"""The life of one entry instance: it starts, serves and stops."""
 
+import asyncio
 import signal
-import ssl
-import threading
 import time
 from typing import Any
 
-import attrs
 import grpclib.server
-import prometheus_client
-from result import Ok
 
-from .. import clock
-from .. import errors
-from .. import metrics
-from .. import recorder as recorder_module
-from .. import settings as settings_module
-from ..adapters import callers
-from ..adapters import event_loop
+from ..adapters import admission_peers
+from ..adapters import admission_server
 from ..adapters import ledger_peers
 from ..adapters import operators
 from ..adapters import peers
-from ..adapters import platform as platform_adapter
-from ..adapters import targets as targets_adapter
-from ..adapters import tls
+from . import configuration_loops
 from ..events import Event
 from . import exchange as exchange_module
-from . import handling as handling_module
-from . import ledger as ledger_module
-from . import live_list
-from . import local_admission
-from ..model.answer import Answer
-from ..model.configuration import Configuration
-from ..model.instance import Instance
-from . import orders
-from ..policy import retry
-from ..ports.callers import Call
-from . import seen_peers
-from .attempts import Attempts
+from .assembly import Process
 
 LEDGER_STOP_S = 5.0
-
-
-class StartError(errors.WigeonfallError):
-    """A process cannot start with its settings."""
-
-
-@attrs.define
-class Process:
-    """The running parts of one entry instance."""
-
-    settings: settings_module.ProcessSettings
-    recorder: recorder_module.Recorder
-    callers_server: callers.CallersServer
-    operators_server: Any
-    exchange: exchange_module.Exchange
-    peers_contexts: tuple[ssl.SSLContext, ssl.SSLContext] | None
-    live: live_list.LiveListReader
-    ledger: ledger_module.Ledger
-    ledger_client: ledger_peers.LedgerClient
-    loop: event_loop.LoopThread
-    ready: threading.Event
-    stopping: threading.Event
-
-
-def make_process(
-    settings: settings_module.ProcessSettings,
-    configuration: Configuration,
-) -> Process:
-    """Put the parts of an instance together without starting them.
-
-    Args:
-        settings: settings of the process.
-        configuration: configuration that it starts with.
-    """
-    own = Instance(
-        settings.instance.name,
-        settings.instance.data_center,
-        settings.listen.peers_address,
-        int(time.time() * 1000),
-    )
-    recorder = recorder_module.Recorder(own.name, clock.HybridClock())
-    platform = platform_adapter.make_platform(settings.platform.address)
-    registry = prometheus_client.CollectorRegistry()
-    record = metrics.counting(recorder.record, metrics.Metrics(registry))
-    live = live_list.LiveListReader(platform, record)
-    loop = event_loop.LoopThread()
-    seen = seen_peers.SeenPeers()
-    peers_contexts = tls.make_peers_contexts(
-        settings.tls.peers_certificate_file,
-        settings.tls.peers_key_file,
-        settings.tls.peers_authority_file,
-    )
-    ledger_client = ledger_peers.LedgerClient(
-        loop.loop, peers_contexts[1] if peers_contexts else None
-    )
-    ledger = ledger_module.make_ledger(
-        own.name,
-        platform,
-        ledger_peers.make_ledger_peers(
-            ledger_client, lambda: seen.live(time.time())
-        ),
-        record,
-    )
-    handling = _make_handling(settings, configuration, record, live, ledger)
-    ready = threading.Event()
-    return Process(
-        settings=settings,
-        recorder=recorder,
-        callers_server=_make_callers_server(settings, handling),
-        operators_server=_make_operators_server(
-            settings, recorder, ready, registry
-        ),
-        exchange=exchange_module.Exchange(own, recorder, seen=seen.seen),
-        peers_contexts=peers_contexts,
-        live=live,
-        ledger=ledger,
-        ledger_client=ledger_client,
-        loop=loop,
-        ready=ready,
-        stopping=threading.Event(),
-    )
-
-
-def _make_handling(
-    settings: settings_module.ProcessSettings,
-    configuration: Configuration,
-    record: recorder_module.Record,
-    live: live_list.LiveListReader,
-    ledger: ledger_module.Ledger,
-) -> handling_module.Handling:
-    budgets = retry.RetryBudgets()
-    admission = local_admission.LocalAdmission(live.live_targets)
-    attempts = Attempts(
-        targets=targets_adapter.make_targets(),
-        acquire=admission.acquire,
-        may_retry=lambda request, now_s: budgets.may_retry(
-            request.customer.name,
-            request.service.name,
-            now_s,
-            request.deadline_s,
-        ),
-        succeeded=lambda request, now_s: budgets.succeeded(
-            request.customer.name, request.service.name, now_s
-        ),
-        leaving=live.target_leaving,
-        observe=lambda _outcome, _now_s: None,
-        record=record,
-    )
-    return handling_module.Handling(
-        configuration=lambda: configuration,
-        attempts=attempts,
-        check_limits=lambda _customer, _now_s: Ok(None),
-        choose_version=lambda request, _now_s: request,
-        run_order=orders.make_orders(
-            settings.instance.name, ledger, record
-        ).run,
-        record=record,
-        body_limit_bytes=settings.limits.body_limit_bytes,
-    )
-
-
-def _make_callers_server(
-    settings: settings_module.ProcessSettings,
-    handling: handling_module.Handling,
-) -> callers.CallersServer:
-    def handle(call: Call) -> Answer:
-        try:
-            return handling_module.handle(handling, call)
-        except Exception as error:  # the caller still needs an answer
-            return handling_module.refuse_fault(handling, call, error)
-
-    files = settings.tls
-    listen = callers.ListenSettings(
-        settings.listen.callers_address,
-        settings.limits.callers_threads,
-        settings.limits.header_limit_bytes,
-        settings.limits.body_limit_bytes,
-        settings.limits.connections,
-        tls_adapter=tls.make_http_adapter(
-            files.callers_certificate_file, files.callers_key_file
-        ),
-    )
-    return callers.CallersServer(listen, handle)
-
-
-def _make_operators_server(
-    settings: settings_module.ProcessSettings,
-    recorder: recorder_module.Recorder,
-    ready: threading.Event,
-    registry: prometheus_client.CollectorRegistry,
-) -> Any:
-    def events() -> list[dict[str, Any]]:
-        return [recorder_module.to_json(entry) for entry in recorder.entries()]
-
-    try:
-        key = settings_module.read_secret(
-            'operators_key', settings.secrets.operators_key_file
-        )
-    except OSError as error:
-        raise StartError(f'operators key: {error}') from error
-    shown = operators.Operators(
-        ready=ready.is_set,
-        pages={'/events': events},
-        key=key,
-        registry=registry,
-    )
-    files = settings.tls
-    return operators.make_server(
-        settings.listen.operators_address,
-        shown,
-        tls.make_http_adapter(
-            files.operators_certificate_file,
-            files.operators_key_file,
-            files.operators_authority_file,
-        ),
-    )
+POLL_S = 0.5
 
 
 def run(process: Process) -> None:
@@ -224,12 +27,13 @@
         signal.signal(number, lambda *_args: process.stopping.set())
     record = process.recorder.record
     record(Event.PROCESS_STARTED, name=process.settings.instance.name)
-    loop = process.loop
-    server = loop.submit(_serve_peers(process)).result()
+    server = process.loop.submit(_serve_peers(process)).result()
     process.live.start()
-    loop.submit(_swap_with_peers(process))
+    process.loop.submit(_speak_to_peers(process))
+    configuration_loops.start(process.control.loops)
     callers_address = process.callers_server.begin()
     operators_address = operators.start(process.operators_server)
+    _wait_until_confirmed(process)
     process.ready.set()
     record(
         Event.PROCESS_READY,
@@ -238,34 +42,35 @@
     )
     process.stopping.wait()
     _stop(process)
-    process.ledger.close(LEDGER_STOP_S)
-    process.ledger_client.close()
     server.close()
-    loop.stop()
+    process.loop.stop()
     record(Event.STOP_FINISHED)
 
 
-def _peer_addresses(process: Process) -> exchange_module.PeerAddresses:
-    seeds = process.settings.peers.addresses
-
-    def addresses(now_unix_s: float) -> tuple[str, ...]:
-        listed = process.live.peers_addresses(now_unix_s)
-        return tuple({*seeds, *listed})
+def _wait_until_confirmed(process: Process) -> None:
+    """Wait until no accepted configuration can be missing here."""
+    while not process.control.configuration.wait_until_confirmed(POLL_S):
+        if process.stopping.is_set():
+            return
 
-    return addresses
 
-
-async def _swap_with_peers(process: Process) -> None:
+async def _speak_to_peers(process: Process) -> None:
     contexts = process.peers_contexts
     client_context = contexts[1] if contexts else None
-    addresses = _peer_addresses(process)
-    await exchange_module.run(process.exchange, addresses, client_context)
+    await asyncio.gather(
+        exchange_module.run(
+            process.exchange, process.control.partner_addresses, client_context
+        ),
+        admission_peers.run_links(process.links),
+        admission_server.run_ticks(process.arbiters),
+    )
 
 
 async def _serve_peers(process: Process) -> grpclib.server.Server:
     handlers: list[Any] = [
         peers.ExchangeServer(process.exchange.swap),
         ledger_peers.LedgerService(process.ledger.accept),
+        admission_server.AdmissionServer(process.arbiters),
     ]
     server = grpclib.server.Server(handlers)
     address = process.settings.listen.peers_address
@@ -280,6 +85,9 @@
     stop = process.settings.stop
     process.recorder.record(Event.STOP_BEGUN)
     process.ready.clear()
+    process.control.membership.leave()
     time.sleep(stop.settle_s)
     process.callers_server.drain(stop.quiet_s)
     process.operators_server.stop()
+    process.ledger.close(LEDGER_STOP_S)
+    process.ledger_client.close()
