--- /dev/null
+++ b/tests/model/test_refusal.py
@@ -0,0 +1,15 @@
+"""The page of refusals against the codes."""
+
+import pathlib
+
+from wigeonfall.model import refusal
+
+PAGE = pathlib.Path(__file__).parents[2] / 'docs' / 'REFUSALS.md'
+
+
+def test_every_code_is_on_the_page_of_refusals() -> None:
+    text = PAGE.read_text('utf-8')
+    missing = [
+        code.label for code in refusal.Code if f'`{code.label}`' not in text
+    ]
+    assert missing == []
