Merge small pages, and keep slices within the store's size

Cause: a slice with 30 orders a second listed 317 pages after 20 minutes, which each commit writes anew; a batch of 500 large answers made an object of 2.1 MB, which the platform refuses, for ever.

Change: eight small pages become one; an answer for which there is no room is not kept; claims are refused while a reserve for outcomes remains.

--- a/tests/fakes/memory_store.py
+++ b/tests/fakes/memory_store.py
@@ -35,6 +35,7 @@
         self.writes = 0
         self.reads = 0
         self.written_bytes = 0
+        self.largest_bytes = 0
         self.late: list[Callable[[], Any]] = []
         self._version = 0
         self._lock = threading.Lock()
@@ -97,6 +98,7 @@
         with self._lock:
             self.writes += 1
             self.written_bytes += len(text)
+            self.largest_bytes = max(self.largest_bytes, len(text))
             stored = self.objects.get((kind, name))
             if (stored.version if stored else 0) != version:
                 return _error(PlatformErrorKind.CONFLICT)
--- a/tests/policy/test_ledger.py
+++ b/tests/policy/test_ledger.py
@@ -174,7 +174,9 @@
 
     @stateful.rule()
     def compact(self) -> None:
-        with mock.patch.multiple(retention, COMPACT_BYTES=-1, FOLD_PAGES=2):
+        with mock.patch.multiple(
+            retention, COMPACT_BYTES=-1, FOLD_PAGES=2, MERGE_PAGES=3
+        ):
             done = retention.compact(
                 self.slice,
                 self.pages.get,
--- a/tests/serving/test_ledger.py
+++ b/tests/serving/test_ledger.py
@@ -169,6 +169,20 @@
     assert _verdict(writer, _make_claim('c3')) is Verdict.IN_DOUBT
 
 
+def test_a_large_batch_of_answers_fits_into_the_store() -> None:
+    store = memory_store.MemoryStore()
+    writer = _writer(store)
+    claims = [_make_claim(f'c{n}', f'k{n}') for n in range(500)]
+    answer = WholeAnswer(200, (), bytes(3000))
+    assert writer.commit(claims).is_ok()
+    settles = [
+        order.Settle(claim, order.OrderState.DONE, answer) for claim in claims
+    ]
+    assert writer.commit(settles).is_ok()
+    assert store.largest_bytes < 1_000_000
+    assert _verdict(writer, _make_claim('x', 'k499')) is Verdict.DONE
+
+
 def test_the_number_of_slices_is_written_once() -> None:
     store = memory_store.MemoryStore()
     assert slices.read_slice_count(store.port(), 4).unwrap() == 4
--- a/tests/serving/test_orders_schedules.py
+++ b/tests/serving/test_orders_schedules.py
@@ -271,6 +271,6 @@
         check_repeats(world, jobs)
 
     with mock.patch.multiple(
-        retention, COMPACT_BYTES=compact_bytes, FOLD_PAGES=1
+        retention, COMPACT_BYTES=compact_bytes, FOLD_PAGES=1, MERGE_PAGES=2
     ):
         run()
--- a/wigeonfall/model/order.py
+++ b/wigeonfall/model/order.py
@@ -57,6 +57,7 @@
         newest_unix_s: time of the last change of any entry; in a page of
             fingerprints, the latest time that a key carries.
         timed: whether all its keys carry a time.
+        size_bytes: upper estimate of its size.
     """
 
     name: str
@@ -64,6 +65,7 @@
     entries: int
     newest_unix_s: float
     timed: bool
+    size_bytes: int = 0
 
 
 @attrs.frozen
--- a/wigeonfall/policy/retention.py
+++ b/wigeonfall/policy/retention.py
@@ -19,13 +19,16 @@
 from ..model.order import OrderState
 
 COMPACT_BYTES = 64 * 1024
-SLICE_BYTES = 768 * 1024
+SLICE_BYTES = 800 * 1024
+RESERVED_BYTES = 200 * 1024
 ANSWER_BYTES = 4 * 1024
 ENTRY_BYTES = 400
 PAGE_BYTES = 200
 PAGE_KEYS = 40_000
 SLICE_PAGES = 1_000
 FOLD_PAGES = 16
+MERGE_PAGES = 8
+MERGE_BYTES = 90 * 1024
 
 ANSWER_WINDOW_S = 900.0
 KEY_WINDOW_S = 24 * 3600.0
@@ -89,11 +92,25 @@
     return len(current.pages) * PAGE_BYTES + _entries_bytes(current)
 
 
+def fit(change: order.Change, room_bytes: int) -> order.Change:
+    """Return a change without its answer if the slice has no room for it."""
+    if isinstance(change, order.Claim) or change.answer is None:
+        return change
+    if _answer_bytes(change.answer) <= room_bytes - ENTRY_BYTES:
+        return change
+    return attrs.evolve(change, answer=None)
+
+
+def room_bytes(current: order.Slice) -> int:
+    """Return how much a slice may still grow."""
+    return SLICE_BYTES - size_bytes(current)
+
+
 def is_full(current: order.Slice) -> bool:
     """Return whether a slice has no room for another claim."""
     if len(current.pages) >= SLICE_PAGES:
         return True
-    return size_bytes(current) > SLICE_BYTES
+    return room_bytes(current) < RESERVED_BYTES
 
 
 def compact(
@@ -112,13 +129,16 @@
     """
     if _entries_bytes(current) <= COMPACT_BYTES:
         return None
-    small, created = _move_entries(current, new_name, now_unix_s)
+    small, merged = _merge_small_pages(current, load, new_name)
+    small, created = _move_entries(small, new_name, now_unix_s)
+    created.update(merged)
     small = _forget_timed_keys(small, now_unix_s)
     small, folded = _fold_old_pages(small, load, new_name, now_unix_s)
     if small is current:
         return None
     created.update(folded)
     kept = {page.name for page in small.pages}
+    created = {name: c for name, c in created.items() if name in kept}
     obsolete = tuple(p.name for p in current.pages if p.name not in kept)
     return Compaction(small, created, obsolete)
 
@@ -146,15 +166,44 @@
     small = attrs.evolve(current, entries=kept)
     if not moved:
         return small, {}
-    page = order.Page(
-        name=new_name(),
+    page = _answers_page(new_name(), moved)
+    small = attrs.evolve(small, pages=(*small.pages, page))
+    return small, {page.name: PageContent(entries=moved)}
+
+
+def _answers_page(name: str, entries: Mapping[str, order.Entry]) -> order.Page:
+    return order.Page(
+        name=name,
         with_answers=True,
-        entries=len(moved),
-        newest_unix_s=max(e.changed_unix_s for e in moved.values()),
+        entries=len(entries),
+        newest_unix_s=max(e.changed_unix_s for e in entries.values()),
         timed=False,
+        size_bytes=sum(_entry_bytes(e) for e in entries.values()),
     )
-    small = attrs.evolve(small, pages=(*small.pages, page))
-    return small, {page.name: PageContent(entries=moved)}
+
+
+def _merge_small_pages(
+    current: order.Slice,
+    load: Callable[[str], PageContent | None],
+    new_name: Callable[[], str],
+) -> tuple[order.Slice, dict[str, PageContent]]:
+    small = [
+        page
+        for page in current.pages
+        if page.with_answers and page.size_bytes < MERGE_BYTES
+    ][:MERGE_PAGES]
+    if len(small) < MERGE_PAGES:
+        return current, {}
+    entries: dict[str, order.Entry] = {}
+    for page in small:
+        content = load(page.name)
+        if content is None:
+            return current, {}
+        entries.update(content.entries)
+    merged = _answers_page(new_name(), entries)
+    rest = tuple(page for page in current.pages if page not in small)
+    current = attrs.evolve(current, pages=(*rest, merged))
+    return current, {merged.name: PageContent(entries=entries)}
 
 
 def _is_past_release(entry: order.Entry, now_unix_s: float) -> bool:
--- a/wigeonfall/serving/slices.py
+++ b/wigeonfall/serving/slices.py
@@ -149,6 +149,9 @@
         now_unix_s = self._now_unix_s()
         decisions = []
         for change in changes:
+            if isinstance(change, order.Settle):
+                room_bytes = retention.room_bytes(current)
+                change = retention.fit(change, room_bytes)
             current, decision = ledger.decide(
                 current, change, self._is_remembered, is_full, now_unix_s
             )
