--- a/bench/faults.py
+++ b/bench/faults.py
@@ -11,6 +11,7 @@
 BURST_FACTOR = 3.0
 SLOW_FACTOR = 6.0
 PLATFORM_DELAY_MS = 500
+STOP_TIMEOUT_S = 150.0
 
 Undo = Callable[[], None]
 Cause = Callable[[fleet_module.Fleet], Undo]
@@ -138,8 +139,15 @@
 
 def _instance_stopped(fleet: fleet_module.Fleet) -> Undo:
     name = next(iter(fleet.instances))
-    fleet.instances[name].process.terminate()
-    return lambda: _restart(fleet, name)
+    process = fleet.instances[name].process
+    process.terminate()
+
+    def undo() -> None:
+        # A planned stop lasts as long as the longest answer in progress.
+        processes.wait_for(lambda: not process.running(), STOP_TIMEOUT_S)
+        _restart(fleet, name)
+
+    return undo
 
 
 def _platform_away(fleet: fleet_module.Fleet) -> Undo:
