--- /dev/null
+++ b/tests/policy/test_rollout.py
@@ -0,0 +1,155 @@
+"""Tests of the decisions on rollouts."""
+
+import attrs
+import hypothesis
+from hypothesis import strategies
+import pytest
+from result import Err
+from result import Ok
+
+from wigeonfall.model.rollout import Move
+from wigeonfall.model.rollout import Phase
+from wigeonfall.model.rollout import Rollout
+from wigeonfall.policy import rollout as policy
+
+ROLLOUT = Rollout('lm', 1, 'v1', 'v2', 0.0, 600.0, 100.0)
+ENOUGH = policy.Standing(
+    baseline=True,
+    suffices=True,
+    thin_routes=(),
+    rate_per_s=40.0,
+    heard_share=1.0,
+)
+
+
+def _move(what, share=0.0, at_s=0.0):
+    return Move('id', what, 'me', 'why', at_s, share)
+
+
+def test_first_share_is_small():
+    """A start with ample time begins at the smallest share."""
+    ample = attrs.evolve(ROLLOUT, deadline_unix_s=36_000.0)
+    decision = policy.decide(ample, ENOUGH, 1.0)
+    assert decision.action is policy.Action.GROW
+    assert decision.share == ample.criteria.first_share
+
+
+@pytest.mark.parametrize(
+    'standing',
+    (
+        {'baseline': False},
+        {'heard_share': 0.8},
+        {'suspected': True},
+    ),
+)
+def test_nothing_starts_without_what_it_needs(standing):
+    """No first share without a baseline or with instances unheard of."""
+    decision = policy.decide(ROLLOUT, attrs.evolve(ENOUGH, **standing), 1.0)
+    assert decision.action is policy.Action.HOLD
+
+
+@hypothesis.given(
+    strategies.floats(0, 1),
+    strategies.floats(0, 700),
+    strategies.sampled_from(list(Phase)),
+    strategies.booleans(),
+    strategies.booleans(),
+    strategies.sampled_from((0.5, 0.89, 1.0)),
+)
+@hypothesis.settings(max_examples=500)
+def test_growth_rests_on_evidence(
+    share, now_s, phase, suffices, bad, heard_share
+):
+    """Whatever the state, the share grows only on enough evidence in time."""
+    rollout = attrs.evolve(ROLLOUT, share=share, phase=phase)
+    standing = attrs.evolve(
+        ENOUGH,
+        suffices=suffices,
+        bad='errors' if bad else '',
+        heard_share=heard_share,
+    )
+    decision = policy.decide(rollout, standing, now_s)
+    if phase.final:
+        assert decision.action is policy.Action.HOLD
+    elif bad or now_s >= 600:
+        assert decision.action is policy.Action.TAKE_BACK
+    if decision.action in (policy.Action.GROW, policy.Action.COMPLETE):
+        assert phase is Phase.RUNNING and heard_share >= policy.HEARD_SHARE
+        assert suffices or share == 0
+        assert now_s < rollout.deadline_unix_s
+    if decision.action is policy.Action.COMPLETE:
+        assert share >= 1.0 and now_s >= rollout.bake_s
+
+
+@hypothesis.given(
+    strategies.floats(0.001, 10_000), strategies.floats(100, 20_000)
+)
+def test_plan_fits_when_any_plan_fits(rate_per_s, length_s):
+    """The chosen first share leaves time for all steps, if one can."""
+    rollout = attrs.evolve(ROLLOUT, deadline_unix_s=length_s + 100)
+    share = policy.next_share(rollout, rate_per_s, 0.0)
+    assert 0 < share <= policy.LARGEST_FIRST_SHARE
+    fastest = policy.GROWTH_FACTORS[-1]
+    best_s = policy.path_time_s(
+        rollout, policy.LARGEST_FIRST_SHARE, fastest, rate_per_s
+    )
+    if best_s <= length_s / 2:
+        needed_s = policy.path_time_s(rollout, share, fastest, rate_per_s)
+        assert needed_s <= length_s / 2
+
+
+@hypothesis.given(strategies.text(), strategies.floats(0, 1))
+def test_growing_share_only_adds_requests(request_id, share):
+    """A request keeps its position, which depends on the rollout."""
+    position = policy.position('lm/1', request_id)
+    assert 0 <= position < 1
+    assert position == policy.position('lm/1', request_id)
+    assert position != policy.position('lm/2', request_id)
+
+
+@hypothesis.given(strategies.integers(0, 1000), strategies.integers(1, 600))
+def test_parts_of_the_first_limit_add_up(total, instances):
+    """All instances together get exactly the limit."""
+    parts = [
+        policy.requests_allowed(total, rank, instances)
+        for rank in range(instances)
+    ]
+    assert sum(parts) == total
+
+
+def test_passed_deadline_and_findings_end_the_share_locally():
+    """Neither needs the platform; a completed rollout stays."""
+    half = attrs.evolve(ROLLOUT, share=0.5)
+    assert policy.local_share(half, False, 1.0) == 0.5
+    assert policy.local_share(half, True, 1.0) == 0.0
+    assert policy.local_share(half, False, 600.0) == 0.0
+    done = attrs.evolve(half, phase=Phase.COMPLETED)
+    assert policy.local_share(done, True, 700.0) == 1.0
+
+
+def test_bad_version_is_refused_for_ever():
+    """A taken-back version starts no later rollout of the service."""
+    back = policy.changed(ROLLOUT, _move('take-back')).ok_value
+    assert back.phase is Phase.TAKEN_BACK and back.share == 0.0
+    assert isinstance(policy.changed(back, _move('resume')), Err)
+    with pytest.raises(policy.RolloutError):
+        policy.moved(back, _move('grow', 0.5), 9)
+    again = policy.started(back, ROLLOUT, _move('start'))
+    assert 'taken back' in str(again.err_value)
+    other = attrs.evolve(ROLLOUT, new_version='v3')
+    started = policy.started(back, other, _move('start'))
+    assert isinstance(started, Ok)
+    assert started.ok_value.number == 2
+    assert started.ok_value.bad_versions == ('v2',)
+
+
+def test_pause_keeps_the_share_and_the_deadline():
+    """A paused rollout holds, resumes, and still ends at its deadline."""
+    half = attrs.evolve(ROLLOUT, share=0.5, step_unix_s=5.0)
+    paused = policy.changed(half, _move('pause', at_s=50.0)).ok_value
+    assert (paused.share, paused.step_unix_s) == (0.5, 5.0)
+    assert policy.decide(paused, ENOUGH, 60.0).action is policy.Action.HOLD
+    late = policy.decide(paused, ENOUGH, 600.0)
+    assert late.action is policy.Action.TAKE_BACK
+    resumed = policy.changed(paused, _move('resume')).ok_value
+    assert policy.decide(resumed, ENOUGH, 60.0).action is policy.Action.GROW
--- /dev/null
+++ b/tests/policy/test_sequential.py
@@ -0,0 +1,86 @@
+"""Tests of the sequential comparison of two versions."""
+
+import random
+
+import pytest
+
+from wigeonfall.model.rollout import Criteria
+from wigeonfall.model.rollout import Outcome
+from wigeonfall.policy import evidence
+from wigeonfall.policy import sequential
+
+OLD_ERRORS = 0.01
+
+
+def _counts(rng, number, errors, slowness=1.0, check_failures=0.0):
+    counts = evidence.Counts()
+    for _ in range(number):
+        ok = rng.random() >= errors
+        first_s = 0.4 * rng.lognormvariate(0, 0.5) * slowness
+        check = rng.random() >= check_failures
+        evidence.count(
+            counts, Outcome(ok, first_s if ok else None, None, check)
+        )
+    return counts
+
+
+def _verdict(seed, seconds=120, burst=0.0, route='a', **new):
+    """Run 20 requests/s on each version; return the verdict and its time."""
+    rng = random.Random(seed)
+    comparison = sequential.Comparison(Criteria(), 600, 9)
+    for second in range(seconds):
+        errors = burst if 70 <= second < 80 else OLD_ERRORS
+        old = {r: _counts(rng, 10, errors) for r in 'ab'}
+        fresh = {r: _counts(rng, 10, errors) for r in 'ab'}
+        if second >= 60 and new:
+            fresh[route] = _counts(rng, 10, **{'errors': OLD_ERRORS, **new})
+        found = comparison.add(old, fresh, float(second))
+        if found is not None:
+            return found, second
+    return None, seconds
+
+
+@pytest.mark.parametrize(
+    ('new', 'criterion'),
+    (
+        ({'errors': 0.4}, sequential.Criterion.ERRORS),
+        ({'slowness': 2.5}, sequential.Criterion.FIRST_TOKEN),
+        ({'check_failures': 0.4}, sequential.Criterion.CHECKS),
+    ),
+)
+def test_late_badness_on_one_route_is_found(new, criterion):
+    """Good outcomes of a minute do not hide what follows."""
+    for seed in range(5):
+        found, second = _verdict(seed, **new)
+        assert found is not None and found.criterion is criterion
+        assert found.route in ('a', sequential.ALL_ROUTES)
+        assert 60 <= second <= 75
+
+
+def test_good_versions_are_not_found_bad():
+    """Nor are two versions that suffer alike."""
+    assert not any(_verdict(seed)[0] for seed in range(10))
+    assert not any(_verdict(seed, burst=0.25)[0] for seed in range(10))
+
+
+def test_growth_needs_evidence_of_the_same_step():
+    """The evidence for growth is complete only some way into a step."""
+    rng = random.Random(1)
+    comparison = sequential.Comparison(Criteria(), 600, 3)
+    old = {'a': _counts(rng, 500, OLD_ERRORS)}
+    comparison.add(old, {'a': _counts(rng, 20, OLD_ERRORS)}, 1.0)
+    assert not comparison.step_suffices()
+    comparison.add({}, {'a': _counts(rng, 300, OLD_ERRORS)}, 2.0)
+    assert comparison.step_suffices()
+    assert comparison.thin_routes() == ()
+    comparison.start_step()
+    assert not comparison.step_suffices()
+
+
+def test_route_without_new_traffic_is_thin():
+    """A steady route that the new version never served is named."""
+    rng = random.Random(1)
+    comparison = sequential.Comparison(Criteria(), 600, 3)
+    old = {r: _counts(rng, 200, OLD_ERRORS) for r in 'ab'}
+    comparison.add(old, {'a': _counts(rng, 300, OLD_ERRORS)}, 1.0)
+    assert comparison.thin_routes() == ('b',)
--- /dev/null
+++ b/tests/policy/test_target_versions.py
@@ -0,0 +1,48 @@
+"""Tests of the versions that targets shall serve."""
+
+import attrs
+import hypothesis
+from hypothesis import strategies
+
+from wigeonfall.model.rollout import Phase
+from wigeonfall.model.rollout import Rollout
+from wigeonfall.model.target import Target
+from wigeonfall.policy import target_versions
+
+ROLLOUT = Rollout('lm', 1, 'v1', 'v2', 0.0, 600.0, 100.0)
+
+
+def _targets(number, version='v1'):
+    return [
+        Target(f't{n}', 'lm', 'dc', f'127.0.0.1:{n}', version=version)
+        for n in range(number)
+    ]
+
+
+@hypothesis.given(strategies.integers(2, 30), strategies.floats(0, 1))
+def test_old_version_keeps_a_target_until_the_end(number, share):
+    """While a rollout runs, both versions have a target."""
+    targets = _targets(number)
+    desired = target_versions.desired_versions(ROLLOUT, share, targets)
+    new = sum(version == 'v2' for version in desired.values())
+    assert new <= number - 1
+    assert (new >= 1) == (share > 0)
+
+
+def test_loaded_targets_are_chosen_first():
+    """Applying the decision once leaves nothing to do."""
+    targets = _targets(6)
+    first = target_versions.desired_versions(ROLLOUT, 0.4, targets)
+    applied = [attrs.evolve(t, version=first[t.name]) for t in targets]
+    assert target_versions.desired_versions(ROLLOUT, 0.4, applied) == first
+
+
+def test_ended_rollouts_leave_one_version():
+    """All targets get the version that won."""
+    for phase, version in (
+        (Phase.COMPLETED, 'v2'),
+        (Phase.TAKEN_BACK, 'v1'),
+    ):
+        rollout = attrs.evolve(ROLLOUT, phase=phase)
+        desired = target_versions.desired_versions(rollout, 0.5, _targets(3))
+        assert set(desired.values()) == {version}
--- /dev/null
+++ b/wigeonfall/policy/rollout.py
@@ -0,0 +1,301 @@
+"""Decisions on rollouts: shares, the plan, the end, operators' changes."""
+
+import enum
+import math
+
+import attrs
+from result import Err
+from result import Ok
+from result import Result
+import xxhash
+
+from .. import errors
+from ..model.rollout import Move
+from ..model.rollout import MOVES_KEPT
+from ..model.rollout import Phase
+from ..model.rollout import Rollout
+
+FULL_SHARE = 1.0
+GROWTH_FACTORS = (2.0, 3.0, 4.0, 6.0, 10.0)
+LARGEST_FIRST_SHARE = 0.1
+EVIDENCE_REQUESTS = 150
+ROUTES_PROVEN_SHARE = 0.5
+HEARD_SHARE = 0.9
+HASH_RANGE = 2**64
+
+
+class RolloutError(errors.WigeonfallError):
+    """An operator's change of a rollout does not apply."""
+
+
+@attrs.frozen
+class Standing:
+    """What the lease holder knows when it decides.
+
+    Attributes:
+        baseline: whether enough is known of the old version.
+        suffices: whether this step's evidence speaks for growth.
+        thin_routes: routes in steady use without enough evidence so far.
+        rate_per_s: requests per second of the service, both versions.
+        heard_share: share of instances whose evidence came in lately.
+        suspected: whether a suspicion is being looked into.
+        bad: why the new version is bad, or ''.
+    """
+
+    baseline: bool
+    suffices: bool
+    thin_routes: tuple[str, ...]
+    rate_per_s: float
+    heard_share: float
+    suspected: bool = False
+    bad: str = ''
+
+
+class Action(enum.Enum):
+    """What the lease holder does next."""
+
+    HOLD = 'hold'
+    GROW = 'grow'
+    COMPLETE = 'complete'
+    TAKE_BACK = 'take-back'
+
+
+@attrs.frozen
+class Decision:
+    """An action with its reason.
+
+    Attributes:
+        action: what to do.
+        share: share of the new version afterwards.
+        why: the reason in one sentence.
+    """
+
+    action: Action
+    share: float
+    why: str
+
+
+def position(rollout_id: str, request_id: str) -> float:
+    """Return where a request falls in the split, from 0 up to 1.
+
+    The same request keeps its position in all steps of a rollout, so that
+    a growing share only adds requests to the new version.
+    """
+    text = f'{rollout_id}\0{request_id}'
+    return xxhash.xxh64_intdigest(text.encode()) / HASH_RANGE
+
+
+def local_share(rollout: Rollout, bad: bool, now_unix_s: float) -> float:
+    """Return the share that an instance gives the new version.
+
+    The share of the stored rollout is the most it can be. A known verdict or
+    a passed deadline ends it without the platform.
+    """
+    if rollout.phase is Phase.COMPLETED:
+        return FULL_SHARE
+    if bad or rollout.phase is Phase.TAKEN_BACK:
+        return 0.0
+    if now_unix_s >= rollout.deadline_unix_s:
+        return 0.0
+    return rollout.share
+
+
+def requests_allowed(total: int, rank: int, instances: int) -> int:
+    """Return an instance's part of a total that all of them share.
+
+    Args:
+        total: requests for all instances together.
+        rank: this instance's place among them, from 0.
+        instances: number of instances.
+    """
+    whole, rest = divmod(total, max(1, instances))
+    return whole + (rank < rest)
+
+
+def step_time_s(rollout: Rollout, share: float, rate_per_s: float) -> float:
+    """Return the time that one step needs for its evidence."""
+    least_s = rollout.criteria.least_step_s
+    if rate_per_s <= 0:
+        return math.inf
+    return max(least_s, EVIDENCE_REQUESTS / (rate_per_s * share))
+
+
+def path_time_s(
+    rollout: Rollout, share: float, factor: float, rate_per_s: float
+) -> float:
+    """Return the time from a first share to the full one."""
+    total_s = 0.0
+    while share < FULL_SHARE:
+        total_s += step_time_s(rollout, share, rate_per_s)
+        share *= factor
+    return total_s
+
+
+def time_left_s(rollout: Rollout, now_unix_s: float) -> float:
+    """Return the time until the new version must hold the full load."""
+    return rollout.deadline_unix_s - rollout.bake_s - now_unix_s
+
+
+def next_share(
+    rollout: Rollout, rate_per_s: float, now_unix_s: float
+) -> float:
+    """Return the share of the next step, planned back from the deadline.
+
+    The smallest first share and growth are taken whose steps fit into half
+    of the time left, so that a step may need twice its usual evidence.
+    """
+    left_s = time_left_s(rollout, now_unix_s) / 2
+    if rollout.share > 0:
+        for factor in GROWTH_FACTORS:
+            share = min(FULL_SHARE, rollout.share * factor)
+            if path_time_s(rollout, share, factor, rate_per_s) <= left_s:
+                return share
+        return min(FULL_SHARE, rollout.share * GROWTH_FACTORS[-1])
+    first = rollout.criteria.first_share
+    while first < LARGEST_FIRST_SHARE:
+        for factor in GROWTH_FACTORS:
+            if path_time_s(rollout, first, factor, rate_per_s) <= left_s:
+                return first
+        first *= 2
+    return LARGEST_FIRST_SHARE
+
+
+def decide(
+    rollout: Rollout, standing: Standing, now_unix_s: float
+) -> Decision:
+    """Return what the lease holder does with a rollout now."""
+    if rollout.phase.final:
+        return Decision(Action.HOLD, rollout.share, rollout.phase.value)
+    end = _end(rollout, standing, now_unix_s)
+    if end is not None:
+        return end
+    if rollout.phase is Phase.PAUSED:
+        return Decision(Action.HOLD, rollout.share, 'paused')
+    wait = _wait(rollout, standing, now_unix_s)
+    if wait:
+        return Decision(Action.HOLD, rollout.share, wait)
+    if rollout.share >= FULL_SHARE:
+        why = 'held the full load for its bake time'
+        return Decision(Action.COMPLETE, FULL_SHARE, why)
+    share = next_share(rollout, standing.rate_per_s, now_unix_s)
+    if standing.thin_routes and share > ROUTES_PROVEN_SHARE:
+        if rollout.share >= ROUTES_PROVEN_SHARE:
+            why = f'thin evidence on {standing.thin_routes[0]}'
+            return Decision(Action.HOLD, rollout.share, why)
+        share = ROUTES_PROVEN_SHARE
+    why = 'first share' if rollout.share == 0 else 'evidence suffices'
+    return Decision(Action.GROW, share, why)
+
+
+def _end(
+    rollout: Rollout, standing: Standing, now_unix_s: float
+) -> Decision | None:
+    if standing.bad:
+        return Decision(Action.TAKE_BACK, 0.0, standing.bad)
+    if now_unix_s >= rollout.deadline_unix_s:
+        why = 'deadline passed without enough evidence'
+        return Decision(Action.TAKE_BACK, 0.0, why)
+    if rollout.share < FULL_SHARE and time_left_s(rollout, now_unix_s) <= 0:
+        why = 'no time left to hold the full load before the deadline'
+        return Decision(Action.TAKE_BACK, 0.0, why)
+    return None
+
+
+def _wait(rollout: Rollout, standing: Standing, now_unix_s: float) -> str:
+    """Return why the share must not grow yet, or ''."""
+    if standing.heard_share < HEARD_SHARE:
+        return 'evidence of some instances is missing'
+    if standing.suspected:
+        return 'a suspicion is being looked into'
+    if rollout.share == 0:
+        return '' if standing.baseline else 'too little traffic so far'
+    held_s = now_unix_s - rollout.step_unix_s
+    full = rollout.share >= FULL_SHARE
+    if held_s < (rollout.bake_s if full else rollout.criteria.least_step_s):
+        return 'time at this share is not over'
+    if not standing.suffices:
+        return 'evidence is thin'
+    if full and standing.thin_routes:
+        return f'thin evidence on {standing.thin_routes[0]}'
+    return ''
+
+
+def moved(rollout: Rollout, move: Move, fencing: int) -> Rollout:
+    """Return a rollout after a move of the lease holder.
+
+    Raises:
+        RolloutError: the rollout has ended.
+    """
+    if rollout.phase.final:
+        raise RolloutError(f'rollout {rollout.id} is {rollout.phase.value}')
+    phases = {
+        Action.COMPLETE.value: Phase.COMPLETED,
+        Action.TAKE_BACK.value: Phase.TAKEN_BACK,
+        'pause': Phase.PAUSED,
+        'resume': Phase.RUNNING,
+    }
+    phase = phases.get(move.what, rollout.phase)
+    bad_versions = rollout.bad_versions
+    if phase is Phase.TAKEN_BACK:
+        bad_versions += (rollout.new_version,)
+    return attrs.evolve(
+        rollout,
+        phase=phase,
+        share=move.share,
+        steps=rollout.steps + (move.what == Action.GROW.value),
+        step_unix_s=(
+            rollout.step_unix_s
+            if move.share == rollout.share
+            else move.at_unix_s
+        ),
+        fencing=max(fencing, rollout.fencing),
+        bad_versions=bad_versions,
+        moves=(*rollout.moves, move)[-MOVES_KEPT:],
+    )
+
+
+def started(
+    earlier: Rollout | None, wanted: Rollout, move: Move
+) -> Result[Rollout, RolloutError]:
+    """Return a new rollout of a service.
+
+    Args:
+        earlier: the service's stored rollout, None if there was none.
+        wanted: the rollout that the operator asks for.
+        move: the operator's move.
+
+    Returns:
+        The rollout to store, or why it may not start.
+    """
+    if wanted.old_version == wanted.new_version:
+        return Err(RolloutError('both versions are the same'))
+    if time_left_s(wanted, move.at_unix_s) <= 0:
+        return Err(RolloutError('the deadline leaves no time before bake'))
+    if earlier is None:
+        return Ok(attrs.evolve(wanted, number=1, moves=(move,)))
+    if not earlier.phase.final:
+        return Err(RolloutError(f'rollout {earlier.id} has not ended'))
+    if wanted.new_version in earlier.bad_versions:
+        text = f'version {wanted.new_version} was taken back'
+        return Err(RolloutError(text))
+    return Ok(
+        attrs.evolve(
+            wanted,
+            number=earlier.number + 1,
+            fencing=earlier.fencing,
+            bad_versions=earlier.bad_versions,
+            moves=(move,),
+        )
+    )
+
+
+def changed(rollout: Rollout, move: Move) -> Result[Rollout, RolloutError]:
+    """Return a rollout after an operator's pause, resume or take-back."""
+    if rollout.phase.final:
+        text = f'rollout {rollout.id} is {rollout.phase.value}'
+        return Err(RolloutError(text))
+    if move.what == 'take-back':
+        move = attrs.evolve(move, share=0.0)
+    else:
+        move = attrs.evolve(move, share=rollout.share)
+    return Ok(moved(rollout, move, rollout.fencing))
