Control rollouts by a lease, and stop bad versions without the platform

Rollouts live in one object for each service, so that of two operators who start one only one succeeds. Three instances compete for a lease; its holder writes its fencing number into the rollout before anything else, which voids whatever an earlier holder prepared, and looks at its lease again right before each write and each order. Every instance judges the merged evidence itself and stops at once; the finding spreads by peers and is written afterwards, by any instance if the holder does not do it.

Under the full load no outcomes of the old version exist in the same window. A first finding under the full load now only lowers the share, which brings the comparison back; the second is a verdict. Also ruled out: judging by outcomes of the first seconds after such a change, as errors come sooner than whole answers.

--- a/wigeonfall/events.py
+++ b/wigeonfall/events.py
@@ -30,6 +30,15 @@
     CONFIGURATION_IN_FORCE = (501, logging.INFO, 'configuration in force')
 
     ROLLOUT_MOVED = (601, logging.INFO, 'rollout moved')
+    VERSION_BAD = (602, logging.WARNING, 'version found bad here')
+    VERSION_BAD_HEARD = (603, logging.WARNING, 'version found bad elsewhere')
+    ROLLOUT_WRITE_FAILED = (604, logging.WARNING, 'rollout not written')
+    LEASE_HELD = (605, logging.INFO, 'control lease held')
+    LEASE_LOST = (606, logging.INFO, 'control lease given up or lost')
+    TARGET_ORDERED = (607, logging.INFO, 'target took an order')
+    TARGET_ORDER_FAILED = (608, logging.WARNING, 'order to target failed')
+    ROLLOUT_UNREADABLE = (609, logging.ERROR, 'stored rollout unreadable')
+    VERSION_SUSPECTED = (610, logging.WARNING, 'version suspected here')
 
     PLATFORM_UNREACHABLE = (701, logging.WARNING, 'platform unreachable')
     PLATFORM_REACHABLE = (702, logging.INFO, 'platform reachable')
--- /dev/null
+++ b/wigeonfall/serving/leases.py
@@ -0,0 +1,136 @@
+"""Control leases in the platform's store, as one candidate holds them."""
+
+from collections.abc import Callable
+import threading
+
+import attrs
+import cattrs
+from result import Err
+
+from ..events import Event
+from ..policy import lease as policy
+from ..ports.platform import Platform
+from ..ports.platform import PlatformErrorKind
+from ..ports.platform import StoredObject
+from ..recorder import Record
+
+KIND = 'leases'
+DURATION_S = 10.0
+
+
+class ControlLease:
+    """One candidate's view of one lease.
+
+    The lease counts as held only until its expiry on the candidate's own
+    monotonic clock, whatever the store says.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        name: str,
+        holder: str,
+        record: Record,
+        monotonic: Callable[[], float],
+        duration_s: float = DURATION_S,
+    ) -> None:
+        self._platform = platform
+        self._name = name
+        self._holder = holder
+        self._record = record
+        self._monotonic = monotonic
+        self._duration_s = duration_s
+        self._lock = threading.Lock()
+        self._sighting: policy.Sighting | None = None
+        self._expiry_s = float('-inf')
+        self._fencing = 0
+        self._reported = False
+
+    @property
+    def fencing(self) -> int:
+        """Fencing number of the latest time that the lease was held."""
+        return self._fencing
+
+    def held(self, needed_s: float = 0.0) -> bool:
+        """Return whether the lease will be held for some time still.
+
+        Args:
+            needed_s: longest time that the guarded action may take.
+        """
+        return self._monotonic() + needed_s < self._expiry_s
+
+    def refresh(self, floor: int = 0) -> bool:
+        """Renew the lease, or claim it if it is free.
+
+        Args:
+            floor: highest fencing number known from elsewhere.
+
+        Returns:
+            Whether the lease is held now.
+        """
+        with self._lock:
+            if not self._read():
+                return self._report()
+            seen = self._sighting
+            if policy.may_claim(seen, self._holder, self._monotonic()):
+                self._write(floor)
+            return self._report()
+
+    def release(self) -> None:
+        """Give the lease up, so that another may claim it at once."""
+        with self._lock:
+            held = self.held()
+            self._expiry_s = float('-inf')
+            if held and self._sighting is not None:
+                lease = attrs.evolve(self._sighting.lease, holder='')
+                self._platform.update(
+                    self._stored(self._sighting.version, lease)
+                )
+            self._report()
+
+    def _read(self) -> bool:
+        """Read the lease; return whether its state is known."""
+        got = self._platform.get(KIND, self._name)
+        if isinstance(got, Err):
+            if got.err_value.kind is not PlatformErrorKind.NOT_FOUND:
+                return False
+            self._sighting = None
+            return True
+        stored = got.ok_value
+        # The time is taken after the read: a sighting that is dated too
+        # early would let two instances hold the lease.
+        now_s = self._monotonic()
+        lease = cattrs.structure(stored.value, policy.Lease)
+        self._sighting = policy.see(
+            self._sighting, lease, stored.version, now_s
+        )
+        return True
+
+    def _write(self, floor: int) -> None:
+        """Write a claim or a renewal that holds only on success."""
+        seen = self._sighting
+        lease = policy.next_lease(seen, self._holder, self._duration_s, floor)
+        sent_s = self._monotonic()
+        if seen is None:
+            value = cattrs.unstructure(lease)
+            wrote = self._platform.create(KIND, self._name, value)
+        else:
+            wrote = self._platform.update(self._stored(seen.version, lease))
+        if isinstance(wrote, Err):
+            return
+        version = wrote.ok_value.version
+        self._sighting = policy.Sighting(lease, version, self._monotonic())
+        self._expiry_s = policy.expiry_s(sent_s, self._duration_s)
+        self._fencing = lease.fencing
+
+    def _stored(self, version: int, lease: policy.Lease) -> StoredObject:
+        value = cattrs.unstructure(lease)
+        return StoredObject(KIND, self._name, version, value)
+
+    def _report(self) -> bool:
+        held = self.held()
+        if held != self._reported:
+            event = Event.LEASE_HELD if held else Event.LEASE_LOST
+            self._record(event, lease=self._name, fencing=self._fencing)
+            self._reported = held
+        return held
--- /dev/null
+++ b/wigeonfall/serving/rollout_trial.py
@@ -0,0 +1,137 @@
+"""The evidence of one rollout under way, as one instance sees it.
+
+Under the full load the old version gives no outcomes in the same window, so
+that trouble which both versions share would look like a bad version. A first
+finding there is a suspicion: it only lowers the share at this instance, which
+brings the comparison back. A finding under suspicion is a verdict, and so is
+the last of several suspicions, which only badness under the full load brings.
+The first moments of a suspicion do not count: errors come sooner than whole
+answers, so that a share that has just changed looks worse than it is.
+"""
+
+import math
+
+from ..model.rollout import Rollout
+from ..policy import evidence
+from ..policy import rollout as policy
+from ..policy import sequential
+
+RATE_HALF_LIFE_S = 10.0
+SUSPICION_S = 20.0
+SUSPICION_SETTLES_S = 5.0
+SUSPICIONS = 3
+SUSPECT_SHARE = 0.3
+
+
+class Trial:
+    """The running comparison of the two versions of one rollout."""
+
+    def __init__(self, rollout: Rollout, instances: int) -> None:
+        duration_s = rollout.deadline_unix_s - rollout.started_unix_s
+        self._comparison = sequential.Comparison(
+            rollout.criteria, duration_s, instances
+        )
+        self._steps = rollout.steps
+        self._taken = 0
+        self._recent_requests = 0.0
+        self._recent_s = 0.0
+        self._suspected_until_s = float('-inf')
+        self._suspicions = 0
+
+    def take(self, allowed: int) -> bool:
+        """Count a request for the new version, if the limit allows it."""
+        if self._taken >= allowed:
+            return False
+        self._taken += 1
+        return True
+
+    def judge(
+        self,
+        rollout: Rollout,
+        new: dict[evidence.Key, evidence.Counts],
+        now_s: float,
+    ) -> sequential.Verdict | None:
+        """Take in new counts.
+
+        Args:
+            rollout: the rollout as it is known now.
+            new: counts since the last call, also those of other rollouts.
+            now_s: present time on the monotonic clock.
+
+        Returns:
+            The verdict if the new version is found to be bad.
+        """
+        old_part = _of_version(new, rollout.id, rollout.old_version)
+        new_part = _of_version(new, rollout.id, rollout.new_version)
+        parts = (*old_part.values(), *new_part.values())
+        fade = 0.5 ** ((now_s - self._recent_s) / RATE_HALF_LIFE_S)
+        self._recent_requests *= fade
+        self._recent_requests += sum(part.requests for part in parts)
+        self._recent_s = now_s
+        alone = rollout.share >= policy.FULL_SHARE and not self.suspected(
+            now_s
+        )
+        verdict = self._comparison.add(old_part, new_part, now_s, alone)
+        if self._steps != rollout.steps:
+            self._steps = rollout.steps
+            self._comparison.start_step()
+        if verdict is not None and alone:
+            return self._suspect(verdict, now_s)
+        settled_s = self._suspected_until_s - SUSPICION_S + SUSPICION_SETTLES_S
+        if now_s < settled_s:
+            self._comparison.restart()
+            return None
+        return verdict
+
+    def _suspect(
+        self, verdict: sequential.Verdict, now_s: float
+    ) -> sequential.Verdict | None:
+        """Begin a suspicion; return the verdict if it is the last one."""
+        self._suspicions += 1
+        if self._suspicions >= SUSPICIONS:
+            return verdict
+        self._suspected_until_s = now_s + SUSPICION_S
+        self._comparison.restart()
+        return None
+
+    def suspected(self, now_s: float) -> bool:
+        """Return whether the new version is suspected now."""
+        return now_s < self._suspected_until_s
+
+    def largest_share(self, now_s: float) -> float:
+        """Return the largest share that a suspicion allows."""
+        return SUSPECT_SHARE if self.suspected(now_s) else policy.FULL_SHARE
+
+    def standing(
+        self, rollout: Rollout, heard_share: float, bad: str, now_s: float
+    ) -> policy.Standing:
+        """Return what is known for a decision.
+
+        Args:
+            rollout: the rollout as it is known now.
+            heard_share: share of instances that were heard from lately.
+            bad: why the new version is bad, or ''.
+            now_s: present time on the monotonic clock.
+        """
+        rate_per_s = self._recent_requests * math.log(2) / RATE_HALF_LIFE_S
+        this_step = self._steps == rollout.steps
+        return policy.Standing(
+            baseline=self._comparison.baseline_suffices(),
+            suffices=this_step and self._comparison.step_suffices(),
+            thin_routes=self._comparison.thin_routes(),
+            rate_per_s=rate_per_s,
+            heard_share=heard_share,
+            suspected=self.suspected(now_s),
+            bad=bad,
+        )
+
+
+def _of_version(
+    new: dict[evidence.Key, evidence.Counts], rollout_id: str, version: str
+) -> dict[str, evidence.Counts]:
+    """Return the counts of one version by route."""
+    return {
+        key.route: counts
+        for key, counts in new.items()
+        if key.rollout == rollout_id and key.version == version
+    }
