Look into findings that no comparison stands behind

Three causes were found in single rollouts: outcomes of the burst counted against an old version measured after it, as answers come seconds after their requests; errors that come sooner than whole answers right after a growth; and a proportion of the old version in the burst that few outcomes make uncertain.

Ruled out: half of the share with three seconds (the old version has too few outcomes by then), and a control group of 2 percent under the full load (a burst is over before it has twenty outcomes).

--- a/wigeonfall/policy/sequential.py
+++ b/wigeonfall/policy/sequential.py
@@ -32,6 +32,7 @@
 HALF_LIVES_S = (2.0, 10.0)
 RECENT_TRIALS = 20.0
 PRIOR_TRIALS = 10.0
+TROUBLE_EXCESS = 0.02
 LEAST_SAMPLES = 30
 SLOW_QUANTILE = 0.9
 DEVIATIONS = 2.0
@@ -102,10 +103,18 @@
     return Sample(sample.hits * factor, sample.trials * factor)
 
 
-def _shrunk(sample: Sample, usual: float) -> float:
-    """Return the proportion of a sample, drawn to the usual proportion."""
-    hits = sample.hits + PRIOR_TRIALS * usual
-    return hits / (sample.trials + PRIOR_TRIALS)
+def _present(recent: Sample, usual: float) -> float:
+    """Return the proportion to expect from recent outcomes.
+
+    Few outcomes are drawn to the usual proportion. In times of trouble the
+    upper bound counts, as the trouble's extent is known only roughly then.
+    """
+    hits = recent.hits + PRIOR_TRIALS * usual
+    sample = Sample(hits, recent.trials + PRIOR_TRIALS)
+    proportion = sample.hits / sample.trials
+    if proportion > usual + TROUBLE_EXCESS:
+        return upper_bound(sample)
+    return proportion
 
 
 def upper_bound(sample: Sample) -> float:
@@ -174,7 +183,7 @@
             faded = _faded(self.recent[index], 0.5 ** (age_s / half_life_s))
             recent = _sum(faded, sample)
             self.recent[index] = recent
-            present = max(present, _shrunk(recent, usual))
+            present = max(present, _present(recent, usual))
         if self.recent[-1].trials >= RECENT_TRIALS:
             self.worst = max(self.worst, present)
         else:
--- a/wigeonfall/serving/rollouts.py
+++ b/wigeonfall/serving/rollouts.py
@@ -268,8 +268,7 @@
         share = policy.local_share(rollout, bad, now_unix_s)
         if rollout.id in self._trials:
             now_s = now_unix_s - self._unix_offset_s
-            trial = self._trials[rollout.id]
-            share = min(share, trial.largest_share(now_s))
+            share = self._trials[rollout.id].lowered(share, now_s)
         if rollout.steps > 1 or rollout.phase.final:
             return _View(rollout, share, None)
         order = rendezvous.ranked(rollout.id, self._members())
