--- a/wigeonfall/events.py
+++ b/wigeonfall/events.py
@@ -22,10 +22,25 @@
     ATTEMPT_STARTED = (203, logging.DEBUG, 'attempt started')
     ATTEMPT_FAILED = (204, logging.WARNING, 'attempt failed')
     ANSWER_DISCARDED = (205, logging.WARNING, 'answer of another attempt')
+    HANDLING_FAILED = (206, logging.ERROR, 'fault while handling a call')
 
     ORDER_CLAIMED = (301, logging.INFO, 'order claimed')
+    ORDER_DONE = (302, logging.INFO, 'order done')
+    ORDER_RELEASED = (303, logging.INFO, 'claim of order released')
+    ORDER_IN_DOUBT = (304, logging.WARNING, 'outcome of order unknown')
+    ORDER_REPEATED = (305, logging.INFO, 'repeat of order')
+    CLAIM_FAILED = (306, logging.WARNING, 'claim of order failed')
+    OUTCOME_NOT_RECORDED = (307, logging.WARNING, 'outcome not recorded yet')
+    SLICE_NOT_WRITTEN = (308, logging.INFO, 'slice of the ledger not written')
+    SLICE_COMPACTED = (309, logging.INFO, 'slice of the ledger compacted')
+    SLICE_OWNER_UNREACHABLE = (310, logging.WARNING, 'slice owner unreachable')
 
     REQUEST_QUEUED = (401, logging.DEBUG, 'request queued')
+    ARBITER_CONNECTED = (402, logging.INFO, 'arbiter connected')
+    ARBITER_LOST = (403, logging.WARNING, 'arbiter lost')
+    GRANT_REVOKED = (404, logging.INFO, 'grant revoked')
+    ARBITRATION_BEGUN = (405, logging.INFO, 'arbitration of a pool begun')
+    GRANTS_RECLAIMED = (406, logging.WARNING, 'grants of a holder reclaimed')
 
     CONFIGURATION_IN_FORCE = (501, logging.INFO, 'configuration in force')
 
@@ -42,6 +57,9 @@
 
     PLATFORM_UNREACHABLE = (701, logging.WARNING, 'platform unreachable')
     PLATFORM_REACHABLE = (702, logging.INFO, 'platform reachable')
+    PEER_UNREACHABLE = (703, logging.WARNING, 'peer unreachable')
+    PEER_REACHABLE = (704, logging.INFO, 'peer reachable')
+    TOPIC_UNREADABLE = (705, logging.WARNING, 'state of a topic unreadable')
 
     def __init__(self, number: int, level: int, message: str) -> None:
         self.number = number
