Test suspicions after a growth and under the full load apart

The two tests of the full load began right after the growth to it, so that they passed with the rule for the full load off; now they begin later, and a test of a growth below the full load stands beside them. Each was seen to fail with its rule off.

--- a/tests/serving/test_rollout_control.py
+++ b/tests/serving/test_rollout_control.py
@@ -254,6 +254,7 @@
     world.operate('start', rollout_nodes.new_rollout(world))
     while world.stored() is None or world.stored().share < 1:
         _run(world, nodes, 1)
+    _run(world, nodes, 7)
     nodes[0].traffic('new', 30, ok=False)
     assert 0.85 < nodes[0].chosen(1000).count('old') / 1000 < 0.95
     return world, nodes
@@ -266,6 +267,20 @@
     assert world.stored().phase is Phase.TAKEN_BACK
 
 
+def test_badness_right_after_a_growth_is_compared_first():
+    """Errors come sooner than answers, so the share falls but not to 0."""
+    world = rollout_nodes.World()
+    nodes = rollout_nodes.new_nodes(world)
+    world.operate('start', rollout_nodes.new_rollout(world))
+    while world.stored() is None or world.stored().share < 0.2:
+        _run(world, nodes, 1)
+    share = world.stored().share
+    assert share < 1
+    nodes[0].traffic('new', 30, ok=False)
+    chosen = nodes[0].chosen(4000)
+    assert 0 < chosen.count('new') / len(chosen) < share / 4
+
+
 def test_trouble_of_both_versions_under_full_load_passes():
     """Errors that the old version shows as well bring no verdict."""
     world, nodes = _full_load()
