Move entries to pages from 32 KB on, and merge sixteen pages at a time

Cause: an order cost 34,513 bytes of writes at 100 orders a second, because the slice's object is written whole.

A trial with 16 KB: 10,336 bytes but 206 writes a second at 500; not taken.

tests/failure/test_orders.py and test_retries.py, 15 tests: pass.

--- a/wigeonfall/policy/retention.py
+++ b/wigeonfall/policy/retention.py
@@ -18,7 +18,7 @@
 from ..model import order
 from ..model.order import OrderState
 
-COMPACT_BYTES = 64 * 1024
+COMPACT_BYTES = 32 * 1024
 SLICE_BYTES = 800 * 1024
 RESERVED_BYTES = 200 * 1024
 ANSWER_BYTES = 4 * 1024
@@ -27,8 +27,8 @@
 PAGE_KEYS = 40_000
 SLICE_PAGES = 1_000
 FOLD_PAGES = 16
-MERGE_PAGES = 8
-MERGE_BYTES = 90 * 1024
+MERGE_PAGES = 16
+MERGE_BYTES = 48 * 1024
 
 ANSWER_WINDOW_S = 900.0
 KEY_WINDOW_S = 24 * 3600.0
