Choose versions on the path of a request, and report evidence from it

Cause: rollouts decided on versions that no request asked for. Ruled out: choosing the version once for each request; a retry after a failure on the new version has to go to the old one, so the version is chosen for each attempt. A stream that has begun stays on its version, since another would go on with another text. The first part of a body is waited for as long as a first byte, since a head may come long before it.

--- a/tests/fakes/memory_targets.py
+++ b/tests/fakes/memory_targets.py
@@ -106,6 +106,7 @@
     return attempts_module.Attempts(
         targets=port.Targets(targets.open, lambda address: None),
         acquire=targets.acquire,
+        choose_version=lambda request, versions, now_s: request,
         may_retry=may_retry,
         succeeded=lambda request, now_s: None,
         leaving=lambda left_target, now_s: None,
--- a/wigeonfall/adapters/targets.py
+++ b/wigeonfall/adapters/targets.py
@@ -7,6 +7,7 @@
 import collections
 from collections.abc import Callable
 import http.client
+import socket
 import threading
 
 from result import Err
@@ -122,7 +123,6 @@
             headers=_headers(attempt),
         )
         response = http_response.read_head(sock, attempt.method)
-        sock.settimeout(attempt.between_bytes_timeout_s)
     except _TRANSPORT_ERRORS as error:
         connection.close()
         return Err(_transport_error(error))
@@ -177,17 +177,27 @@
     return TargetAnswer(
         status=response.status,
         headers=response.headers,
-        read=_reader(response),
+        read=_reader(connection.sock, response, attempt),
         close=_closer(idle, connection, response, attempt),
     )
 
 
-def _reader(response: http_response.Response) -> Callable[[], bytes]:
+def _reader(
+    sock: socket.socket, response: http_response.Response, attempt: Attempt
+) -> Callable[[], bytes]:
+    begun = False
+
     def read() -> bytes:
+        nonlocal begun
         try:
-            return response.read()
+            part = response.read()
+            if not begun:
+                # The head may come long before the first part of the body.
+                sock.settimeout(attempt.between_bytes_timeout_s)
+                begun = True
         except _TRANSPORT_ERRORS as error:
             raise AttemptFailed(_transport_error(error)) from error
+        return part
 
     return read
 
--- a/wigeonfall/serving/attempts.py
+++ b/wigeonfall/serving/attempts.py
@@ -25,6 +25,8 @@
 from ..recorder import Record
 from .local_admission import Grant
 
+ChooseVersion = Callable[[Request, frozenset[str], float], Request]
+
 SAME_TARGET_DELAY_S = 0.05
 
 Acquire = Callable[[Request, frozenset[str], float], Result[Grant, Refusal]]
@@ -40,6 +42,7 @@
         ok: whether the answer was whole and not a server error.
         first_byte_s: time to the first byte, or None if none came.
         total_s: time to the end.
+        pace_s: mean time between the events of a stream, or None.
     """
 
     target: Target
@@ -47,6 +50,7 @@
     ok: bool
     first_byte_s: float | None
     total_s: float
+    pace_s: float | None = None
 
 
 @attrs.frozen
@@ -56,6 +60,8 @@
     Attributes:
         targets: calls to targets.
         acquire: waits for a grant.
+        choose_version: returns a request with the version that it is for,
+            given the versions on which it failed before.
         may_retry: whether the budget allows a retry of a request now.
         succeeded: feeds the budget after a success.
         leaving: takes note that a target takes no new work.
@@ -67,6 +73,7 @@
 
     targets: targets_port.Targets
     acquire: Acquire
+    choose_version: ChooseVersion
     may_retry: Callable[[Request, float], bool]
     succeeded: Callable[[Request, float], None]
     leaving: Callable[[Target, float], None]
@@ -108,26 +115,47 @@
     error: AttemptError
 
 
+@attrs.frozen
+class Failures:
+    """Where the attempts of one request failed.
+
+    Attributes:
+        targets: names of targets.
+        versions: versions of these targets.
+    """
+
+    targets: frozenset[str] = frozenset()
+    versions: frozenset[str] = frozenset()
+
+    def and_at(self, target: Target) -> 'Failures':
+        """Return these failures and one at a target."""
+        return Failures(
+            self.targets | {target.name}, self.versions | {target.version}
+        )
+
+
 def acquire(
-    attempts: Attempts, request: Request, excluded: frozenset[str]
+    attempts: Attempts, request: Request, failures: Failures
 ) -> Result[Grant, Refusal]:
     """Wait for a grant, at a target that failed before if there is no other.
 
     Args:
         attempts: what tries need.
         request: the request.
-        excluded: names of targets that failed it before.
+        failures: where it failed before.
 
     Returns:
         The grant, or a refusal.
     """
-    acquired = attempts.acquire(request, excluded, time.monotonic())
-    if isinstance(acquired, Ok) or not excluded:
+    now_s = time.monotonic()
+    chosen = attempts.choose_version(request, failures.versions, now_s)
+    acquired = attempts.acquire(chosen, failures.targets, now_s)
+    if isinstance(acquired, Ok) or not failures.targets:
         return acquired
     if acquired.err_value.code is not Code.NO_TARGET:
         return acquired
     time.sleep(SAME_TARGET_DELAY_S)
-    return attempts.acquire(request, frozenset(), time.monotonic())
+    return attempts.acquire(chosen, frozenset(), time.monotonic())
 
 
 def truthful(refusal: Refusal, ran: bool) -> Refusal:
@@ -224,7 +252,13 @@
     )
 
 
-def end(attempts: Attempts, request: Request, begun: Try, ok: bool) -> None:
+def end(
+    attempts: Attempts,
+    request: Request,
+    begun: Try,
+    ok: bool,
+    events: int = 0,
+) -> None:
     """Close a try, give its room back and keep the evidence.
 
     Args:
@@ -232,16 +266,22 @@
         request: the request.
         begun: the try.
         ok: whether the answer was whole and not a server error.
+        events: events of a stream that this try gave.
     """
     begun.answer.close()
     begun.grant.release()
     now_s = time.monotonic()
+    total_s = now_s - begun.began_s
+    pace_s = None
+    if events > 1:
+        pace_s = (total_s - begun.first_byte_s) / (events - 1)
     outcome = Outcome(
         begun.grant.target,
         request.route,
         ok,
         begun.first_byte_s,
-        now_s - begun.began_s,
+        total_s,
+        pace_s,
     )
     attempts.observe(outcome, now_s)
     if ok:
--- a/wigeonfall/serving/handling.py
+++ b/wigeonfall/serving/handling.py
@@ -58,7 +58,6 @@
         configuration: returns the configuration in force.
         attempts: what tries at targets need.
         check_limits: refuses a customer above its limits.
-        choose_version: returns a request with the version that it is for.
         run_order: runs a keyed call at most once, by way of a function that
             dispatches it.
         record: records events.
@@ -68,7 +67,6 @@
     configuration: Callable[[], Configuration]
     attempts: Attempts
     check_limits: Callable[[Customer, float], Result[None, Refusal]]
-    choose_version: Callable[[Request, float], Request]
     run_order: RunOrder
     record: Record
     body_limit_bytes: int
@@ -101,8 +99,7 @@
     limited = handling.check_limits(customer, now_s)
     if isinstance(limited, Err):
         return _refuse(handling, limited.err_value, request_id)
-    request = handling.choose_version(made.ok_value, now_s)
-    return _run(handling, request)
+    return _run(handling, made.ok_value)
 
 
 def refuse_fault(handling: Handling, call: Call, error: Exception) -> Answer:
--- /dev/null
+++ b/wigeonfall/serving/listening.py
@@ -0,0 +1,91 @@
+"""Puts the servers for callers and operators together."""
+
+import threading
+from typing import Any
+
+from .. import errors
+from .. import recorder as recorder_module
+from .. import settings as settings_module
+from ..adapters import callers
+from ..adapters import operators
+from ..adapters import tls
+from . import control as control_module
+from . import handling as handling_module
+from ..model.answer import Answer
+from ..ports.callers import Call
+from ..settings import ProcessSettings
+from .base import Base
+
+
+class StartError(errors.WigeonfallError):
+    """A process cannot start with its settings."""
+
+
+def make_callers_server(
+    settings: ProcessSettings, handling: handling_module.Handling
+) -> callers.CallersServer:
+    """Return the server for callers, which is not started.
+
+    Raises:
+        TlsError: a certificate or key cannot be used.
+    """
+
+    def handle(call: Call) -> Answer:
+        try:
+            return handling_module.handle(handling, call)
+        except Exception as error:  # the caller still needs an answer
+            return handling_module.refuse_fault(handling, call, error)
+
+    files = settings.tls
+    listen = callers.ListenSettings(
+        settings.listen.callers_address,
+        settings.limits.callers_threads,
+        settings.limits.header_limit_bytes,
+        settings.limits.body_limit_bytes,
+        settings.limits.connections,
+        tls_adapter=tls.make_http_adapter(
+            files.callers_certificate_file, files.callers_key_file
+        ),
+    )
+    return callers.CallersServer(listen, handle)
+
+
+def make_operators_server(
+    base: Base, ready: threading.Event, control: control_module.Control
+) -> Any:
+    """Return the server for operators, which is not started.
+
+    Raises:
+        StartError: a secret cannot be read.
+        TlsError: a certificate, key or authority cannot be used.
+    """
+
+    def events() -> list[dict[str, Any]]:
+        entries = base.recorder.entries()
+        return [recorder_module.to_json(entry) for entry in entries]
+
+    shown = operators.Operators(
+        ready=ready.is_set,
+        pages={'/events': events, '/control': control.page},
+        key=_read_operators_key(base.settings),
+        registry=base.registry,
+    )
+    files = base.settings.tls
+    return operators.make_server(
+        base.settings.listen.operators_address,
+        shown,
+        tls.make_http_adapter(
+            files.operators_certificate_file,
+            files.operators_key_file,
+            files.operators_authority_file,
+        ),
+    )
+
+
+def _read_operators_key(settings: ProcessSettings) -> str:
+    try:
+        return settings_module.read_secret(
+            'operators_key', settings.secrets.operators_key_file
+        )
+    except OSError as error:
+        raise StartError(f'operators key: {error}') from error
--- /dev/null
+++ b/wigeonfall/serving/path_parts.py
@@ -0,0 +1,111 @@
+"""Puts the path of a call together."""
+
+import attrs
+from result import Result
+
+from ..adapters import targets as targets_adapter
+from . import admission
+from . import control as control_module
+from . import handling as handling_module
+from . import ledger as ledger_module
+from . import limits
+from ..model.customer import Customer
+from ..model.refusal import Refusal
+from ..model.request import Request
+from ..model import rollout
+from . import orders
+from ..policy import retry
+from . import rollouts
+from .attempts import Attempts
+from .attempts import Outcome
+from .base import Base
+
+REQUEST_COST = 1.0
+
+
+def _make_attempts(
+    base: Base,
+    control: control_module.Control,
+    waits: admission.Admission,
+    versions: rollouts.Rollouts,
+) -> Attempts:
+    budgets = retry.RetryBudgets()
+
+    def may_retry(request: Request, now_s: float) -> bool:
+        return budgets.may_retry(
+            request.customer.name,
+            request.service.name,
+            now_s,
+            request.deadline_s,
+        )
+
+    def succeeded(request: Request, now_s: float) -> None:
+        budgets.succeeded(request.customer.name, request.service.name, now_s)
+
+    def choose_version(
+        request: Request, failed: frozenset[str], now_s: float
+    ) -> Request:
+        if request.version:
+            return request
+        version = versions.choose_version(
+            request.service.name, request.route, request.id, now_s, failed
+        )
+        return attrs.evolve(request, version=version or '')
+
+    def observe(outcome: Outcome, now_s: float) -> None:
+        target = outcome.target
+        result = rollout.Outcome(
+            outcome.ok, outcome.first_byte_s, outcome.pace_s
+        )
+        versions.observe(
+            target.service, target.version, outcome.route, result, now_s
+        )
+
+    available = control.membership.targets
+    targets = targets_adapter.make_targets()
+    return Attempts(
+        targets=targets,
+        acquire=waits.acquire,
+        choose_version=choose_version,
+        may_retry=may_retry,
+        succeeded=succeeded,
+        leaving=available.leaving,
+        failed=available.failed,
+        met=available.met,
+        observe=observe,
+        record=base.record,
+    )
+
+
+def make_handling(
+    base: Base,
+    control: control_module.Control,
+    ledger: ledger_module.Ledger,
+    waits: admission.Admission,
+    customer_limits: limits.Limits,
+    versions: rollouts.Rollouts,
+) -> handling_module.Handling:
+    """Return what the path of a call needs.
+
+    Args:
+        base: what the parts are made from.
+        control: membership and configuration.
+        ledger: claims of orders.
+        waits: admission to targets.
+        customer_limits: limits of customers.
+        versions: rollouts and their evidence.
+    """
+
+    def check_limits(
+        customer: Customer, now_s: float
+    ) -> Result[None, Refusal]:
+        return customer_limits.check(customer, REQUEST_COST, now_s)
+
+    return handling_module.Handling(
+        configuration=lambda: control.configuration.current,
+        attempts=_make_attempts(base, control, waits, versions),
+        check_limits=check_limits,
+        run_order=orders.make_orders(base.own.name, ledger, base.record).run,
+        record=base.record,
+        body_limit_bytes=base.settings.limits.body_limit_bytes,
+    )
--- a/wigeonfall/serving/process.py
+++ b/wigeonfall/serving/process.py
@@ -15,6 +15,7 @@
 from . import configuration_loops
 from ..events import Event
 from . import exchange as exchange_module
+from . import rollout_control
 from .assembly import Process
 
 LEDGER_STOP_S = 5.0
@@ -31,6 +32,9 @@
     process.live.start()
     process.loop.submit(_speak_to_peers(process))
     configuration_loops.start(process.control.loops)
+    rollout_control.run(
+        process.rollouts, process.rollout_control, process.stopping
+    )
     callers_address = process.callers_server.begin()
     operators_address = operators.start(process.operators_server)
     _wait_until_confirmed(process)
--- a/wigeonfall/serving/relay.py
+++ b/wigeonfall/serving/relay.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 import time
 
+import attrs
 from result import Err
 from result import Ok
 from result import Result
@@ -23,6 +24,7 @@
 from . import refusals
 from .attempts import Attempts
 from .attempts import FailedTry
+from .attempts import Failures
 from .attempts import Try
 
 _EVENT_END = b'\n\n'
@@ -89,7 +91,7 @@
         the iterator cancels the attempt.
     """
     splice = _Splice(request.id)
-    began = _begin_somewhere(attempts, request, splice, frozenset())
+    began = _begin_somewhere(attempts, request, splice, Failures())
     return began.map(lambda begun: _relay(attempts, request, splice, begun))
 
 
@@ -100,7 +102,7 @@
         error = yield from _relay_one(attempts, request, splice, begun)
         if error is None:
             return
-        excluded = frozenset[str]()
+        failures = Failures()
         if error.kind is not AttemptErrorKind.REVOKED:
             if not attempts_module.may_try_again(
                 attempts, request, error, time.monotonic()
@@ -108,8 +110,12 @@
                 refusal = unknown(Code.ANSWER_BROKEN, 'the answer broke off')
                 yield refusals.refusal_event(refusal, request.id)
                 return
-            excluded = frozenset({begun.grant.target.name})
-        began = _begin_somewhere(attempts, request, splice, excluded)
+            failures = failures.and_at(begun.grant.target)
+        if splice.delivered_events:
+            # Another version would go on with another text.
+            version = begun.grant.target.version
+            request = attrs.evolve(request, version=version)
+        began = _begin_somewhere(attempts, request, splice, failures)
         if isinstance(began, Err):
             yield refusals.refusal_event(began.err_value, request.id)
             return
@@ -121,6 +127,7 @@
 ) -> Generator[bytes, None, AttemptError | None]:
     """Pass on what one attempt gives; return why it ended, or None."""
     splice.restart()
+    first_event = splice.delivered_events
     revoked = begun.grant.revoked
     read = begun.answer.read
     interval_s = request.service.relay_interval_s
@@ -159,7 +166,8 @@
         attempts_module.abandon(begun)
         raise
     read_to_end(begun)
-    attempts_module.end(attempts, request, begun, ok=True)
+    events = splice.delivered_events - first_event
+    attempts_module.end(attempts, request, begun, True, events)
     return None
 
 
@@ -175,10 +183,10 @@
     attempts: Attempts,
     request: Request,
     splice: _Splice,
-    excluded: frozenset[str],
+    failures: Failures,
 ) -> Result[Try, Refusal]:
     while True:
-        acquired = attempts_module.acquire(attempts, request, excluded)
+        acquired = attempts_module.acquire(attempts, request, failures)
         if isinstance(acquired, Err):
             refusal = acquired.err_value
             return Err(attempts_module.truthful(refusal, splice.ran))
@@ -205,7 +213,7 @@
         ):
             refusal = attempts_module.failure_refusal(request, error)
             return Err(attempts_module.truthful(refusal, splice.ran))
-        excluded |= {acquired.ok_value.target.name}
+        failures = failures.and_at(acquired.ok_value.target)
 
 
 def _rejected(begun: Try) -> Refusal:
--- a/wigeonfall/serving/whole.py
+++ b/wigeonfall/serving/whole.py
@@ -34,10 +34,10 @@
         The answer, or the refusal for the caller. A refusal says "not run"
         only if no attempt may have run.
     """
-    excluded: frozenset[str] = frozenset()
+    failures = attempts_module.Failures()
     ran = False
     while True:
-        acquired = attempts_module.acquire(attempts, request, excluded)
+        acquired = attempts_module.acquire(attempts, request, failures)
         if isinstance(acquired, Err):
             return Err(attempts_module.truthful(acquired.err_value, ran))
         grant = acquired.ok_value
@@ -57,7 +57,7 @@
         ):
             refusal = attempts_module.failure_refusal(request, failed.error)
             return Err(attempts_module.truthful(refusal, ran))
-        excluded |= {failed.target.name}
+        failures = failures.and_at(failed.target)
 
 
 def _try_once(
