Build one binary and run the demonstration from it

Cause: the product is to ship as one file, and nothing built it. Ruled out: bundlers whose launcher starts a second process. Change: make binary writes a zipapp with its dependencies; the fleet library starts instances from it; make demo uses it.

--- a/Makefile
+++ b/Makefile
@@ -15,8 +15,8 @@
 test: setup
 	$(BIN)/python -m pytest $(PYTEST_ARGS)
 
-demo: setup
-	$(BIN)/python -m tests.fakes.demo
+demo: binary
+	$(BIN)/python -m tests.fakes.demo --binary dist/wigeonfall
 
 format: setup
 	$(BIN)/ruff format .
@@ -30,6 +30,14 @@
 
 check: lint types test
 
+dist/wigeonfall: setup requirements.txt $(shell git ls-files wigeonfall)
+	mkdir -p dist
+	$(BIN)/shiv --quiet --compressed --python '/usr/bin/env python3' \
+		--console-script wigeonfall --output-file $@ \
+		-r requirements.txt .
+
+binary: dist/wigeonfall
+
 proto: setup
 	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --mypy_out=. \
 		--grpclib_python_out=. \
--- a/tests/fakes/demo.py
+++ b/tests/fakes/demo.py
@@ -4,6 +4,9 @@
 import pathlib
 import tempfile
 
+import attrs
+import typer
+
 from wigeonfall import recorder
 from wigeonfall import timeline
 
@@ -33,10 +36,15 @@
 )
 
 
-def main() -> None:
-    """Run the demonstration and stop everything gracefully."""
+def main(binary: pathlib.Path | None = None) -> None:
+    """Run the demonstration and stop everything gracefully.
+
+    Args:
+        binary: zipapp that the instances run from, or None for the module.
+    """
+    plan = attrs.evolve(PLAN, binary=binary)
     with tempfile.TemporaryDirectory() as directory:
-        with Fleet(PLAN, pathlib.Path(directory)) as fleet:
+        with Fleet(plan, pathlib.Path(directory)) as fleet:
             _wait_for_targets(fleet)
             _stream_dossier(fleet)
             _ask_recipes(fleet)
@@ -144,4 +152,4 @@
 
 
 if __name__ == '__main__':
-    main()
+    typer.run(main)
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -47,6 +47,7 @@
         platform_options: options of the platform, by name.
         settings: changes to the settings of all instances, by section.
         base: changes to the base configuration, by section.
+        binary: zipapp that instances run from, or None for the module.
     """
 
     example: str
@@ -56,6 +57,7 @@
     platform_options: dict[str, Any] = attrs.field(factory=dict)
     settings: dict[str, dict[str, str]] = attrs.field(factory=dict)
     base: dict[str, dict[str, str]] = attrs.field(factory=dict)
+    binary: pathlib.Path | None = None
 
 
 @attrs.define
@@ -120,9 +122,13 @@
 
     def start_process(self, name: str, *arguments: str) -> processes.Process:
         """Start a process that ends with the fleet at the latest."""
-        started = processes.start(
-            name, *arguments, WIGEONFALL_OPERATORS_KEY=OPERATORS_KEY
+        return self._keep(
+            processes.start(
+                name, *arguments, WIGEONFALL_OPERATORS_KEY=OPERATORS_KEY
+            )
         )
+
+    def _keep(self, started: processes.Process) -> processes.Process:
         self._stack.callback(_end, started)
         return started
 
@@ -265,8 +271,18 @@
     def _start_instance(
         self, name: str, path: pathlib.Path
     ) -> processes.Process:
-        return self.start_process(
-            name, 'wigeonfall', 'serve', '--settings', str(path)
+        arguments = ('serve', '--settings', str(path))
+        binary = self.plan.binary
+        if binary is None:
+            return self.start_process(name, 'wigeonfall', *arguments)
+        return self._keep(
+            processes.start_binary(
+                name,
+                binary,
+                *arguments,
+                SHIV_ROOT=str(self.directory / 'unpacked'),
+                WIGEONFALL_OPERATORS_KEY=OPERATORS_KEY,
+            )
         )
 
     def _register(self, name: str, data_center: str, address: str) -> None:
--- a/tests/fakes/processes.py
+++ b/tests/fakes/processes.py
@@ -55,11 +55,11 @@
     """
 
     def __init__(
-        self, name: str, arguments: tuple[str, ...], env: dict[str, str]
+        self, name: str, command: tuple[str, ...], env: dict[str, str]
     ) -> None:
         self.name = name
         self._popen = subprocess.Popen(
-            (sys.executable, '-m', *arguments),
+            command,
             cwd=REPOSITORY,
             env={**os.environ, **env},
             stdout=subprocess.PIPE,
@@ -171,7 +171,21 @@
         arguments: the module and its arguments.
         env: environment variables to add.
     """
-    return Process(name, arguments, env)
+    return Process(name, (sys.executable, '-m', *arguments), env)
+
+
+def start_binary(
+    name: str, binary: pathlib.Path, *arguments: str, **env: str
+) -> Process:
+    """Start a zipapp as a process.
+
+    Args:
+        name: name for messages.
+        binary: the zipapp.
+        arguments: its arguments.
+        env: environment variables to add.
+    """
+    return Process(name, (sys.executable, str(binary), *arguments), env)
 
 
 def wait_for(condition: Callable[[], bool], timeout_s: float = 30.0) -> None:
