Pass over instances whose address cannot be read

A live entry without a port ended the task that keeps the link, for good: the instance would have granted from its own share until its next start. Found while reading the loop again; the test fails without the change.

--- a/tests/failure/test_tiers.py
+++ b/tests/failure/test_tiers.py
@@ -324,6 +324,23 @@
     run(test)
 
 
+def test_instance_with_an_unreadable_address_is_passed_over(run):
+    """A broken entry of the live list costs no link."""
+
+    async def test(site):
+        node = site.nodes[0]
+        good = node.live
+        node.live = (instance.Instance('broken', 'east', 'nowhere', 1),)
+        node.services = ()
+        await site.until(lambda: node.arbiter is None)
+        node.services = (arbitration.SERVICE,)
+        await asyncio.sleep(3 * admission_peers.SERVICES_PERIOD_S)
+        node.live = good
+        await site.until(lambda: node.arbiter is not None)
+
+    run(test)
+
+
 def test_service_that_is_no_longer_configured_has_no_link(run):
     """Links follow the configuration."""
 
--- a/wigeonfall/adapters/admission_peers.py
+++ b/wigeonfall/adapters/admission_peers.py
@@ -162,6 +162,8 @@
 
 async def _open(linking: Linking, instance: Instance) -> _Opened | None:
     host, _, port = instance.peers_address.rpartition(':')
+    if not port.isdecimal():
+        return None
     channel = grpclib.client.Channel(host, int(port), ssl=linking.context)
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
