--- a/wigeonfall/events.py
+++ b/wigeonfall/events.py
@@ -25,6 +25,15 @@
     HANDLING_FAILED = (206, logging.ERROR, 'fault while handling a call')
 
     ORDER_CLAIMED = (301, logging.INFO, 'order claimed')
+    ORDER_DONE = (302, logging.INFO, 'order done')
+    ORDER_RELEASED = (303, logging.INFO, 'claim of order released')
+    ORDER_IN_DOUBT = (304, logging.WARNING, 'outcome of order unknown')
+    ORDER_REPEATED = (305, logging.INFO, 'repeat of order')
+    CLAIM_FAILED = (306, logging.WARNING, 'claim of order failed')
+    OUTCOME_NOT_RECORDED = (307, logging.WARNING, 'outcome not recorded yet')
+    SLICE_NOT_WRITTEN = (308, logging.INFO, 'slice of the ledger not written')
+    SLICE_COMPACTED = (309, logging.INFO, 'slice of the ledger compacted')
+    SLICE_OWNER_UNREACHABLE = (310, logging.WARNING, 'slice owner unreachable')
 
     REQUEST_QUEUED = (401, logging.DEBUG, 'request queued')
     ARBITER_CONNECTED = (402, logging.INFO, 'arbiter connected')
@@ -35,7 +44,23 @@
 
     CONFIGURATION_IN_FORCE = (501, logging.INFO, 'configuration in force')
 
+    CONFIGURATION_REFUSED = (502, logging.ERROR, 'configuration refused')
+    CONFIGURATION_REPORTED = (503, logging.INFO, 'site status written')
+    INSTANCES_CHANGED = (510, logging.INFO, 'live instances changed')
+    INCARNATION_RAISED = (511, logging.WARNING, 'own name used by another')
+    TARGET_LEAVING = (520, logging.INFO, 'target leaves')
+    TARGET_HELD_BACK = (521, logging.WARNING, 'target held back')
+
     ROLLOUT_MOVED = (601, logging.INFO, 'rollout moved')
+    VERSION_BAD = (602, logging.WARNING, 'version found bad here')
+    VERSION_BAD_HEARD = (603, logging.WARNING, 'version found bad elsewhere')
+    ROLLOUT_WRITE_FAILED = (604, logging.WARNING, 'rollout not written')
+    LEASE_HELD = (605, logging.INFO, 'control lease held')
+    LEASE_LOST = (606, logging.INFO, 'control lease given up or lost')
+    TARGET_ORDERED = (607, logging.INFO, 'target took an order')
+    TARGET_ORDER_FAILED = (608, logging.WARNING, 'order to target failed')
+    ROLLOUT_UNREADABLE = (609, logging.ERROR, 'stored rollout unreadable')
+    VERSION_SUSPECTED = (610, logging.WARNING, 'version suspected here')
 
     PLATFORM_UNREACHABLE = (701, logging.WARNING, 'platform unreachable')
     PLATFORM_REACHABLE = (702, logging.INFO, 'platform reachable')
--- /dev/null
+++ b/wigeonfall/serving/assembly.py
@@ -0,0 +1,239 @@
+"""Puts the parts of one entry instance together."""
+
+from collections.abc import Callable
+import ssl
+import threading
+import time
+from typing import Any
+
+import attrs
+
+from ..adapters import admission_peers
+from ..adapters import callers
+from ..adapters import event_loop
+from ..adapters import ledger_peers
+from ..adapters import targets as targets_adapter
+from . import admission
+from . import arbiter
+from . import control as control_module
+from . import exchange as exchange_module
+from . import leases
+from . import ledger as ledger_module
+from . import limits
+from . import listening
+from . import live_list
+from ..model.configuration import Configuration
+from ..model.instance import Instance
+from ..model.target import Target
+from . import path_parts
+from ..recorder import Recorder
+from . import rollout_control
+from . import rollouts
+from ..settings import ProcessSettings
+from . import target_orders
+from .base import Base
+from .base import make_base
+
+
+@attrs.define
+class Process:
+    """The parts of one entry instance.
+
+    Attributes:
+        settings: settings of the process.
+        recorder: its events.
+        loop: the loop that peers are served and called on.
+        callers_server: serves callers.
+        operators_server: serves operators.
+        exchange: topics that are swapped with peers.
+        peers_contexts: TLS contexts of the server and the clients, or None.
+        live: reads the platform's live list.
+        control: membership and configuration.
+        ledger: claims of orders.
+        ledger_client: channels to the owners of other slices.
+        links: what the links to the arbiters need.
+        arbiters: the pools that this instance arbitrates.
+        rollouts: the rollouts and the evidence on them.
+        rollout_control: moves the rollouts while it holds their lease.
+        ready: set while the instance takes new calls.
+        stopping: set once a planned stop is asked for.
+    """
+
+    settings: ProcessSettings
+    recorder: Recorder
+    loop: event_loop.LoopThread
+    callers_server: callers.CallersServer
+    operators_server: Any
+    exchange: exchange_module.Exchange
+    peers_contexts: tuple[ssl.SSLContext, ssl.SSLContext] | None
+    live: live_list.LiveListReader
+    control: control_module.Control
+    ledger: ledger_module.Ledger
+    ledger_client: ledger_peers.LedgerClient
+    links: admission_peers.Links
+    arbiters: arbiter.Arbiters
+    rollouts: rollouts.Rollouts
+    rollout_control: rollout_control.Control
+    ready: threading.Event
+    stopping: threading.Event
+
+
+def make_process(
+    settings: ProcessSettings, configuration: Configuration
+) -> Process:
+    """Put the parts of an instance together without starting them.
+
+    Args:
+        settings: settings of the process.
+        configuration: configuration of the process's own files.
+
+    Raises:
+        StartError: a secret cannot be read.
+        TlsError: a certificate, key or authority cannot be used.
+    """
+    base = make_base(settings)
+    exchange = exchange_module.Exchange(base.own, base.recorder)
+    control = control_module.make_control(
+        base.own, settings, configuration, base.platform, exchange, base.record
+    )
+    ledger_client = ledger_peers.LedgerClient(
+        base.loop.loop, base.client_context
+    )
+    ledger = _make_ledger(base, control, ledger_client)
+    waits = _make_admission(base, control)
+    customer_limits = limits.Limits(_live_instances(control))
+    versions = _make_rollouts(base, control)
+    exchange.topics += (limits.make_topic(customer_limits), versions.topic())
+    handling = path_parts.make_handling(
+        base, control, ledger, waits, customer_limits, versions
+    )
+    ready = threading.Event()
+    return Process(
+        settings=settings,
+        recorder=base.recorder,
+        loop=base.loop,
+        callers_server=listening.make_callers_server(settings, handling),
+        operators_server=listening.make_operators_server(base, ready, control),
+        exchange=exchange,
+        peers_contexts=base.peers_contexts,
+        live=live_list.LiveListReader(
+            base.platform,
+            base.record,
+            control.take_list,
+            control.list_period_s,
+        ),
+        control=control,
+        ledger=ledger,
+        ledger_client=ledger_client,
+        links=_make_links(base, control, waits),
+        arbiters=_make_arbiters(base, control),
+        rollouts=versions,
+        rollout_control=_make_rollout_control(base, control, versions),
+        ready=ready,
+        stopping=threading.Event(),
+    )
+
+
+def _live_instances(
+    control: control_module.Control,
+) -> Callable[[], tuple[Instance, ...]]:
+    return lambda: control.membership.live_instances(time.monotonic())
+
+
+def _make_ledger(
+    base: Base,
+    control: control_module.Control,
+    client: ledger_peers.LedgerClient,
+) -> ledger_module.Ledger:
+    peers = ledger_peers.make_ledger_peers(client, _live_instances(control))
+    return ledger_module.make_ledger(
+        base.own.name, base.platform, peers, base.record
+    )
+
+
+def _make_admission(
+    base: Base, control: control_module.Control
+) -> admission.Admission:
+    return admission.Admission(
+        base.own,
+        control.membership.targets.live,
+        _live_instances(control),
+        base.record,
+    )
+
+
+def _make_links(
+    base: Base,
+    control: control_module.Control,
+    waits: admission.Admission,
+) -> admission_peers.Links:
+    return admission_peers.Links(
+        base.own,
+        waits,
+        lambda: control.configuration.current.services,
+        _live_instances(control),
+        base.record,
+        base.client_context,
+    )
+
+
+def _make_arbiters(
+    base: Base, control: control_module.Control
+) -> arbiter.Arbiters:
+    return arbiter.Arbiters(
+        lambda name: control.configuration.current.service(name),
+        control.membership.targets.live,
+        _live_instances(control),
+        base.record,
+    )
+
+
+def _live_names(control: control_module.Control) -> tuple[str, ...]:
+    live = control.membership.live_instances(time.monotonic())
+    return tuple(instance.name for instance in live)
+
+
+def _make_rollouts(
+    base: Base, control: control_module.Control
+) -> rollouts.Rollouts:
+    return rollouts.Rollouts(
+        base.own.name,
+        base.own.incarnation,
+        lambda: _live_names(control),
+        base.record,
+    )
+
+
+def _make_rollout_control(
+    base: Base,
+    control: control_module.Control,
+    versions: rollouts.Rollouts,
+) -> rollout_control.Control:
+    lease = leases.ControlLease(
+        base.platform,
+        rollout_control.LEASE,
+        admission.holder_of(base.own),
+        base.record,
+        time.monotonic,
+    )
+    sender = target_orders.OrderSender(
+        targets_adapter.make_targets(),
+        lease.held,
+        base.record,
+        target_orders.in_threads,
+        time.monotonic,
+    )
+
+    def targets_of(service: str) -> tuple[Target, ...]:
+        return control.membership.targets.live(service, time.monotonic())
+
+    return rollout_control.Control(
+        base.own.name,
+        base.platform,
+        versions,
+        lease,
+        lambda: _live_names(control),
+        targets_of,
+        sender,
+        base.record,
+    )
