Report a lease that lapses when nothing is left to do

Cause: a holder that was paused past its lease while the rollout ended never recorded the loss, since it looked at the lease only with work to do.

--- a/wigeonfall/serving/leases.py
+++ b/wigeonfall/serving/leases.py
@@ -76,6 +76,11 @@
                 self._write(floor)
             return self._report()
 
+    def note_expiry(self) -> None:
+        """Report that the lease has run out, if it has."""
+        with self._lock:
+            self._report()
+
     def release(self) -> None:
         """Give the lease up, so that another may claim it at once."""
         with self._lock:
--- a/wigeonfall/serving/rollout_control.py
+++ b/wigeonfall/serving/rollout_control.py
@@ -86,6 +86,8 @@
             self._lead(now_s, now_unix_s)
         elif not candidate and self._lease.held():
             self._lease.release()
+        else:
+            self._lease.note_expiry()
         for known in self._rollouts.active():
             self._take_back_unled(known, now_unix_s)
 
