--- a/wigeonfall/serving/process.py
+++ b/wigeonfall/serving/process.py
@@ -18,6 +18,7 @@
 from .. import settings as settings_module
 from ..adapters import callers
 from ..adapters import event_loop
+from ..adapters import ledger_peers
 from ..adapters import operators
 from ..adapters import peers
 from ..adapters import platform as platform_adapter
@@ -28,14 +29,18 @@
 from ..events import Event
 from . import exchange as exchange_module
 from . import handling as handling_module
+from . import ledger as ledger_module
 from . import live_list
 from . import local_admission
 from ..model.answer import Answer
 from ..model.configuration import Configuration
 from ..model.instance import Instance
+from . import orders
+from ..policy import retry
 from ..ports.callers import Call
 from .attempts import Attempts
 
+LEDGER_STOP_S = 5.0
 POLL_S = 0.5
 
 
@@ -55,6 +60,9 @@
     peers_contexts: tuple[ssl.SSLContext, ssl.SSLContext] | None
     live: live_list.LiveListReader
     control: control_module.Control
+    ledger: ledger_module.Ledger
+    ledger_client: ledger_peers.LedgerClient
+    loop: event_loop.LoopThread
     ready: threading.Event
     stopping: threading.Event
 
@@ -86,7 +94,22 @@
     live = live_list.LiveListReader(
         platform, record, control.take_list, control.list_period_s
     )
-    handling = _make_handling(settings, record, control)
+    loop = event_loop.LoopThread()
+    peers_contexts = tls.make_peers_contexts(
+        settings.tls.peers_certificate_file,
+        settings.tls.peers_key_file,
+        settings.tls.peers_authority_file,
+    )
+    ledger_client = ledger_peers.LedgerClient(
+        loop.loop, peers_contexts[1] if peers_contexts else None
+    )
+    ledger = ledger_module.make_ledger(
+        own.name,
+        platform,
+        ledger_peers.make_ledger_peers(ledger_client, control.others),
+        record,
+    )
+    handling = _make_handling(settings, record, control, ledger)
     ready = threading.Event()
     return Process(
         settings=settings,
@@ -96,13 +119,12 @@
             settings, recorder, ready, registry, control
         ),
         exchange=exchange,
-        peers_contexts=tls.make_peers_contexts(
-            settings.tls.peers_certificate_file,
-            settings.tls.peers_key_file,
-            settings.tls.peers_authority_file,
-        ),
+        peers_contexts=peers_contexts,
         live=live,
         control=control,
+        ledger=ledger,
+        ledger_client=ledger_client,
+        loop=loop,
         ready=ready,
         stopping=threading.Event(),
     )
@@ -112,14 +134,23 @@
     settings: settings_module.ProcessSettings,
     record: recorder_module.Record,
     control: control_module.Control,
+    ledger: ledger_module.Ledger,
 ) -> handling_module.Handling:
+    budgets = retry.RetryBudgets()
     available = control.membership.targets
     admission = local_admission.LocalAdmission(available.live)
     attempts = Attempts(
         targets=targets_adapter.make_targets(),
         acquire=admission.acquire,
-        may_retry=lambda _request, _now_s: True,
-        succeeded=lambda _request, _now_s: None,
+        may_retry=lambda request, now_s: budgets.may_retry(
+            request.customer.name,
+            request.service.name,
+            now_s,
+            request.deadline_s,
+        ),
+        succeeded=lambda request, now_s: budgets.succeeded(
+            request.customer.name, request.service.name, now_s
+        ),
         leaving=available.leaving,
         failed=available.failed,
         met=available.met,
@@ -131,7 +162,9 @@
         attempts=attempts,
         check_limits=lambda _customer, _now_s: Ok(None),
         choose_version=lambda request, _now_s: request,
-        run_order=lambda request, dispatch: dispatch(request),
+        run_order=orders.make_orders(
+            settings.instance.name, ledger, record
+        ).run,
         record=record,
         body_limit_bytes=settings.limits.body_limit_bytes,
     )
@@ -201,32 +234,44 @@
         signal.signal(number, lambda *_args: process.stopping.set())
     record = process.recorder.record
     record(Event.PROCESS_STARTED, name=process.settings.instance.name)
-    loop = event_loop.LoopThread()
+    loop = process.loop
     server = loop.submit(_serve_peers(process)).result()
     process.live.start()
     loop.submit(_swap_with_peers(process))
     configuration_loops.start(process.control.loops)
-    callers_address = process.callers_server.begin()
     operators_address = operators.start(process.operators_server)
-    _wait_until_confirmed(process)
-    process.ready.set()
-    record(
-        Event.PROCESS_READY,
-        callers_address=callers_address,
-        operators_address=operators_address,
-    )
-    process.stopping.wait()
-    _stop(process)
+    if _wait_until_confirmed(process):
+        _serve_callers(process, operators_address)
+    process.operators_server.stop()
+    process.ledger.close(LEDGER_STOP_S)
+    process.ledger_client.close()
     server.close()
     loop.stop()
     record(Event.STOP_FINISHED)
 
 
-def _wait_until_confirmed(process: Process) -> None:
-    """Wait until no accepted configuration can be missing here."""
+def _wait_until_confirmed(process: Process) -> bool:
+    """Wait until no accepted configuration can be missing here.
+
+    Returns:
+        False if the process is to stop before that.
+    """
     while not process.control.configuration.wait_until_confirmed(POLL_S):
         if process.stopping.is_set():
-            return
+            return False
+    return True
+
+
+def _serve_callers(process: Process, operators_address: str) -> None:
+    callers_address = process.callers_server.begin()
+    process.ready.set()
+    process.recorder.record(
+        Event.PROCESS_READY,
+        callers_address=callers_address,
+        operators_address=operators_address,
+    )
+    process.stopping.wait()
+    _stop(process)
 
 
 async def _swap_with_peers(process: Process) -> None:
@@ -237,7 +282,10 @@
 
 
 async def _serve_peers(process: Process) -> grpclib.server.Server:
-    handlers = [peers.ExchangeServer(process.exchange.swap)]
+    handlers: list[Any] = [
+        peers.ExchangeServer(process.exchange.swap),
+        ledger_peers.LedgerService(process.ledger.accept),
+    ]
     server = grpclib.server.Server(handlers)
     address = process.settings.listen.peers_address
     host, _, port = address.rpartition(':')
@@ -254,4 +302,3 @@
     process.control.membership.leave()
     time.sleep(stop.settle_s)
     process.callers_server.drain(stop.quiet_s)
-    process.operators_server.stop()
