Exchange with each partner once a second

Ruled out: fewer partners (longer ways for news); fewer heartbeats in a message (later sight of failures in large fleets). News does not wait for the period. Change: the period of the exchange is 1 s, as that of heartbeats.

--- a/wigeonfall/serving/exchange.py
+++ b/wigeonfall/serving/exchange.py
@@ -16,7 +16,7 @@
 from ..ports.peers import Topic
 from ..recorder import Recorder
 
-PERIOD_S = 0.5
+PERIOD_S = 1.0
 GATHER_S = 0.005
 
 PeerAddresses = Callable[[float], tuple[str, ...]]
