Exchange with all others in fleets of up to twelve

Cause: topics whose reports are not passed on, as those of customers' limits, were built for an exchange with every peer; with three partners among nine instances some would hear of others only each ten seconds. Ruled out: more partners at every size (an instance among 90 would use more than its share of a core).

--- a/wigeonfall/policy/membership.py
+++ b/wigeonfall/policy/membership.py
@@ -18,6 +18,7 @@
 BEAT_S = 1.0
 TURN_S = 10.0
 FANOUT = 3
+MESH_INSTANCES = 12
 FAIL_AFTER_S = 5.0
 FAIL_AFTER_PER_INSTANCE_S = 0.05
 PAUSE_S = 3.0
@@ -157,10 +158,11 @@
 ) -> tuple[str, ...]:
     """Return the addresses to exchange state with now.
 
-    The first FANOUT live ones in an order of our own stay, so that few
-    connections are opened. One more takes turns, which joins groups that
-    would else not meet, and one of the silent ones is tried in turn, which
-    ends a cut between them and us.
+    In a fleet of up to MESH_INSTANCES these are all live ones. In a larger
+    one the first FANOUT in an order of our own stay, so that few connections
+    are opened, and one more takes turns, which joins groups that would else
+    not meet. One of the silent ones is tried in turn, which ends a cut
+    between them and us.
 
     Args:
         own: address of this instance.
@@ -170,8 +172,9 @@
     """
     turn = int(now_s / TURN_S)
     ranked = rendezvous.ranked(own, live)
-    chosen = ranked[:FANOUT]
-    for rest in (ranked[FANOUT:], rendezvous.ranked(own, silent)):
+    kept = len(ranked) if len(ranked) < MESH_INSTANCES else FANOUT
+    chosen = ranked[:kept]
+    for rest in (ranked[kept:], rendezvous.ranked(own, silent)):
         if rest:
             chosen += (rest[turn % len(rest)],)
     return chosen
