Keep callers from giving orders to targets, and end idle connections sooner

Cause: a caller's path below /services/NAME/ went to the target as it is, so that a call of /orders reached the path on which targets take orders to load versions. And a planned stop waited up to 10 s for idle connections. Ruled out: a list of allowed paths for each service, which operators would have to keep; the targets' own paths now have a root of their own. Change: orders to targets go to /manage/orders; the intake refuses that root however it is written; a drain ends connections that are idle for 3 s while calls in progress keep their own timeout. Conclusion: closed for plain services; completions have fixed paths.

--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -85,7 +85,7 @@
             await to.send_json(200, self._load())
         elif request.path == '/cache-events':
             await self._send_cache_events(request, to)
-        elif request.path == '/orders':
+        elif request.path == '/manage/orders':
             status = await self._orders.take(request.json(), self.identity)
             await to.send_json(status, {})
         elif request.path.startswith('/kv/'):
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -174,7 +174,11 @@
             method,
             f'http://{address}{path}',
             json=body,
-            headers={'Authorization': f'Bearer {key}', **(headers or {})},
+            headers={
+                'Authorization': f'Bearer {key}',
+                'Connection': 'close',
+                **(headers or {}),
+            },
             timeout=timeout_s,
             retries=False,
         )
--- a/tests/fakes/plain_service.py
+++ b/tests/fakes/plain_service.py
@@ -117,7 +117,7 @@
             await to.wait_until_gone()
         elif request.path == '/load':
             await to.send_json(200, self._load())
-        elif request.path == '/orders':
+        elif request.path == '/manage/orders':
             status = await self._orders.take(request.json(), self.identity)
             await to.send_json(status, {})
         else:
--- a/tests/fakes/test_engine.py
+++ b/tests/fakes/test_engine.py
@@ -126,7 +126,7 @@
         {'order': 'load-version', 'value': f'v{number}', 'fencing': number}
         for number in (7, 6)
     ]
-    url = f'http://{handle.address}/orders'
+    url = f'http://{handle.address}/manage/orders'
     answers = [urllib3.request('POST', url, json=order) for order in orders]
     handle.stop()
     assert [answer.status for answer in answers] == statuses
--- a/wigeonfall/adapters/callers.py
+++ b/wigeonfall/adapters/callers.py
@@ -24,6 +24,7 @@
 
 _LOGGER = logging.getLogger('wigeonfall.callers')
 _IDLE_TIMEOUT_S = 10
+_DRAIN_IDLE_TIMEOUT_S = 3
 _POLL_S = 0.02
 _WATCH_PERIOD_S = 0.5
 _TOO_MANY_CONNECTIONS = (
@@ -62,6 +63,8 @@
     def __init__(self, server: 'CallersServer', *args: Any) -> None:
         super().__init__(server, *args)
         self._callers_server = server
+        # The server's own timeout is shorter during a drain.
+        self.socket.settimeout(_IDLE_TIMEOUT_S)
         self.reading_since_s: float | None = None
         server.connection_opened(self)
 
@@ -175,14 +178,15 @@
     def drain(self, quiet_s: float) -> None:
         """Answer what is there and what still arrives, then stop.
 
-        Each answer from now on closes its connection, and idle connections
-        end by the idle timeout. The server stops when no connection has been
+        Each answer from now on closes its connection, and connections that
+        stay idle end soon. The server stops when no connection has been
         open for a while.
 
         Args:
             quiet_s: time without any connection after which it stops.
         """
         self.keep_alive_conn_limit = 0
+        self.timeout = _DRAIN_IDLE_TIMEOUT_S
         while not self._quiet(quiet_s, time.monotonic()):
             time.sleep(_POLL_S)
         self._stopped.set()
--- a/wigeonfall/serving/control.py
+++ b/wigeonfall/serving/control.py
@@ -39,12 +39,6 @@
         """Return the addresses of the peers to swap topics with now."""
         return self.membership.partner_addresses(time.monotonic())
 
-    def others(self) -> tuple[Instance, ...]:
-        """Return the live instances but this one."""
-        live = self.membership.live_instances(time.monotonic())
-        own = self.membership.own.name
-        return tuple(one for one in live if one.name != own)
-
     def take_list(self, listed: LiveList) -> None:
         """Take in the platform's live list."""
         now_s = time.monotonic()
--- a/wigeonfall/serving/intake.py
+++ b/wigeonfall/serving/intake.py
@@ -3,8 +3,10 @@
 from collections.abc import Mapping
 import hashlib
 import json
+import posixpath
 import re
 from typing import Any
+import urllib.parse
 import uuid
 
 from result import Err
@@ -27,6 +29,7 @@
 COMPLETIONS_PATH = '/v1/chat/completions'
 MODELS_PATH = '/v1/models'
 SERVICES_PREFIX = '/services/'
+MANAGEMENT_ROOT = 'manage'
 DEFAULT_ANSWER_TOKENS = 256
 DEADLINE_LIMIT_S = 3600.0
 KEY_LIMIT_CHARACTERS = 255
@@ -150,6 +153,8 @@
 ) -> Result[Request, Refusal]:
     name, _, rest = call.path.removeprefix(SERVICES_PREFIX).partition('/')
     service = configuration.service(name)
+    if _is_management(rest):
+        return Err(not_run(Code.NOT_FOUND, 'no such path'))
     if service is None or service.kind is not ServiceKind.PLAIN:
         return Err(not_run(Code.NOT_FOUND, f'no plain service {name!r}'))
     deadline = _deadline_s(call, service, now_s)
@@ -178,6 +183,13 @@
     )
 
 
+def _is_management(path: str) -> bool:
+    """Return whether a target may take a path for one of its own orders."""
+    plain = urllib.parse.unquote(path.partition('?')[0])
+    normal = posixpath.normpath('/' + plain.replace('\\', '/')).lstrip('/')
+    return normal.partition('/')[0].lower() == MANAGEMENT_ROOT
+
+
 def _completion_request(
     call: Call,
     request_id: str,
--- a/wigeonfall/serving/target_orders.py
+++ b/wigeonfall/serving/target_orders.py
@@ -114,7 +114,7 @@
         request_id=identifier,
         target=order.target,
         method='POST',
-        path='/orders',
+        path='/manage/orders',
         headers=(('Content-Type', 'application/json'),),
         body=json.dumps(body).encode(),
         fresh_connection=True,
