Lend the live list to instances that start while the platform is away

Peers exchange what differs from the list, not the list itself. Ruled out: sending the list in every exchange, which at 12,000 targets would be about a megabyte for each peer and round.

--- a/wigeonfall/serving/available_targets.py
+++ b/wigeonfall/serving/available_targets.py
@@ -39,6 +39,7 @@
         self._record = record
         self._hasten = hasten
         self._listed: dict[str, Target] = {}
+        self._has_list = False
         self._news: dict[str, _TargetNews] = {}
         self._holds: dict[str, Hold] = {}
         self._usable: dict[str, tuple[Target, ...]] = {}
@@ -47,6 +48,7 @@
     def take_list(self, targets: Iterable[Target], now_s: float) -> None:
         """Take in the targets of the platform's list, which lags."""
         with self._lock:
+            self._has_list = True
             self._listed = {target.name: target for target in targets}
             self._news = {
                 name: news
@@ -57,6 +59,30 @@
             }
             self._usable_until_s = now_s
 
+    def has_list(self) -> bool:
+        """Return whether the platform's list was read since the start."""
+        return self._has_list
+
+    def known(self) -> bool:
+        """Return whether targets are known from the platform or a peer."""
+        return self._has_list or bool(self._listed)
+
+    def listed(self) -> tuple[Target, ...]:
+        """Return the targets of the list, in the order of their names."""
+        with self._lock:
+            return tuple(self._listed[name] for name in sorted(self._listed))
+
+    def borrow(self, targets: Iterable[Target], now_s: float) -> None:
+        """Take in targets of a peer's list, unless there is an own one."""
+        with self._lock:
+            if self._has_list:
+                return
+            for target in targets:
+                known = self._listed.get(target.name)
+                if known is None or known.incarnation <= target.incarnation:
+                    self._listed[target.name] = target
+            self._usable_until_s = now_s
+
     def live(self, service: str, now_s: float) -> tuple[Target, ...]:
         """Return the targets of a service that may get new work."""
         with self._lock:
--- a/wigeonfall/serving/control.py
+++ b/wigeonfall/serving/control.py
@@ -8,8 +8,10 @@
 from .. import settings as settings_module
 from ..adapters import configuration_store
 from ..adapters import configuration_topic
+from ..adapters import live_list_topic
 from ..adapters import membership_topic
 from . import configuration_loops
+from . import list_sharing
 from ..model.configuration import Configuration
 from ..model.instance import Instance
 from ..policy import membership as membership_policy
@@ -103,6 +105,9 @@
     )
     exchange.topics += (
         membership_topic.make_topic(membership),
+        live_list_topic.make_topic(
+            list_sharing.ListSharing(membership.targets)
+        ),
         configuration_topic.make_topic(
             configuration, own.data_center, membership.data_center_of
         ),
--- a/wigeonfall/serving/process.py
+++ b/wigeonfall/serving/process.py
@@ -20,6 +20,7 @@
 
 LEDGER_STOP_S = 5.0
 POLL_S = 0.5
+KNOWN_POLL_S = 0.05
 
 
 def run(process: Process) -> None:
@@ -37,7 +38,7 @@
     )
     callers_address = process.callers_server.begin()
     operators_address = operators.start(process.operators_server)
-    _wait_until_confirmed(process)
+    _wait_until_usable(process)
     process.ready.set()
     record(
         Event.PROCESS_READY,
@@ -51,11 +52,15 @@
     record(Event.STOP_FINISHED)
 
 
-def _wait_until_confirmed(process: Process) -> None:
-    """Wait until no accepted configuration can be missing here."""
-    while not process.control.configuration.wait_until_confirmed(POLL_S):
+def _wait_until_usable(process: Process) -> None:
+    """Wait until the configuration is confirmed and targets are known."""
+    control = process.control
+    while not control.configuration.wait_until_confirmed(POLL_S):
         if process.stopping.is_set():
             return
+    while not control.membership.targets.known():
+        if process.stopping.wait(KNOWN_POLL_S):
+            return
 
 
 async def _speak_to_peers(process: Process) -> None:
