Lend a borrowed list on, wait for rollouts, and judge the version that answered

An instance that knew no rollout sent requests to any version. Evidence went to the version in the lagging list instead of the one that answered. Ruled out: readiness after a fixed wait, which would bring back the empty list. Change: a message says whether its sender knows the targets; borrowed lists are lent on; readiness waits for rollouts too; X-Version of the answer names the version of an outcome.

--- a/tests/serving/test_list_sharing.py
+++ b/tests/serving/test_list_sharing.py
@@ -41,7 +41,27 @@
     for _ in range(4):
         _swap(lender, borrower)
     assert borrowed.live('app', 1.0) == lent.live('app', 1.0)
-    assert borrowed.known() == (count > 0)
+    assert borrowed.known()
+
+
+def test_a_borrowed_list_is_lent_on() -> None:
+    lent, lender = _make()
+    _, between = _make()
+    borrowed, borrower = _make()
+    lent.take_list(_targets(3), 0.0)
+    _swap(lender, between)
+    assert not borrowed.known()
+    for _ in range(2):
+        _swap(between, borrower)
+    assert borrowed.listed() == _targets(3)
+
+
+def test_nothing_is_known_from_a_peer_that_knows_nothing() -> None:
+    _, lender = _make()
+    borrowed, borrower = _make()
+    for _ in range(2):
+        _swap(lender, borrower)
+    assert not borrowed.known()
 
 
 def test_the_platforms_list_goes_before_a_borrowed_one() -> None:
--- a/wigeonfall/adapters/live_list_topic.py
+++ b/wigeonfall/adapters/live_list_topic.py
@@ -33,7 +33,7 @@
 
 def encode(message: Message) -> bytes:
     """Return a message as bytes."""
-    state = live_list_pb2.State(wanted=message.wanted)
+    state = live_list_pb2.State(wanted=message.wanted, known=message.known)
     for target in message.targets:
         state.targets.add(
             name=target.name,
@@ -58,7 +58,9 @@
     except protobuf.DecodeError as error:
         raise ValueError(str(error)) from error
     return Message(
-        state.wanted, tuple(_decode_target(one) for one in state.targets)
+        state.wanted,
+        state.known,
+        tuple(_decode_target(one) for one in state.targets),
     )
 
 
--- a/wigeonfall/serving/attempts.py
+++ b/wigeonfall/serving/attempts.py
@@ -38,6 +38,7 @@
 
     Attributes:
         target: the target that was tried.
+        version: version that answered, as far as it is known.
         route: route of the request.
         ok: whether the answer was whole and not a server error.
         first_byte_s: time to the first byte, or None if none came.
@@ -46,6 +47,7 @@
     """
 
     target: Target
+    version: str
     route: str
     ok: bool
     first_byte_s: float | None
@@ -277,6 +279,7 @@
         pace_s = (total_s - begun.first_byte_s) / (events - 1)
     outcome = Outcome(
         begun.grant.target,
+        _version_of(begun),
         request.route,
         ok,
         begun.first_byte_s,
@@ -288,6 +291,14 @@
         attempts.succeeded(request, now_s)
 
 
+def _version_of(begun: Try) -> str:
+    """Return the version that an answer names, since lists lag behind it."""
+    for name, value in begun.answer.headers:
+        if name.lower() == 'x-version':
+            return value
+    return begun.grant.target.version
+
+
 def abandon(begun: Try) -> None:
     """Cancel a try without judging its target."""
     begun.answer.close()
@@ -322,7 +333,14 @@
     if error.kind in (AttemptErrorKind.SILENT, AttemptErrorKind.BROKEN):
         attempts.targets.forget(target.address)
     if error.ran or error.kind is AttemptErrorKind.NOT_SENT:
-        outcome = Outcome(target, request.route, False, None, now_s - began_s)
+        outcome = Outcome(
+            target,
+            target.version,
+            request.route,
+            False,
+            None,
+            now_s - began_s,
+        )
         attempts.observe(outcome, now_s)
 
 
--- a/wigeonfall/serving/available_targets.py
+++ b/wigeonfall/serving/available_targets.py
@@ -40,6 +40,7 @@
         self._hasten = hasten
         self._listed: dict[str, Target] = {}
         self._has_list = False
+        self._has_borrowed = False
         self._news: dict[str, _TargetNews] = {}
         self._holds: dict[str, Hold] = {}
         self._usable: dict[str, tuple[Target, ...]] = {}
@@ -65,7 +66,7 @@
 
     def known(self) -> bool:
         """Return whether targets are known from the platform or a peer."""
-        return self._has_list or bool(self._listed)
+        return self._has_list or self._has_borrowed
 
     def listed(self) -> tuple[Target, ...]:
         """Return the targets of the list, in the order of their names."""
@@ -77,6 +78,7 @@
         with self._lock:
             if self._has_list:
                 return
+            self._has_borrowed = True
             for target in targets:
                 known = self._listed.get(target.name)
                 if known is None or known.incarnation <= target.incarnation:
--- a/wigeonfall/serving/list_sharing.py
+++ b/wigeonfall/serving/list_sharing.py
@@ -20,10 +20,13 @@
 
     Attributes:
         wanted: whether the sender has no list of the platform's yet.
+        known: whether the sender knows the targets, from the platform or a
+            peer.
         targets: some of the sender's targets, if the receiver wants them.
     """
 
     wanted: bool
+    known: bool
     targets: tuple[Target, ...] = ()
 
 
@@ -44,14 +47,15 @@
             peer: name of the peer.
         """
         wanted = not self._targets.has_list()
+        known = self._targets.known()
         with self._lock:
             start = self._next_for.get(peer)
-            if start is None or wanted:
-                return Message(wanted)
+            if start is None:
+                return Message(wanted, known)
             listed = self._targets.listed()
             end = start + TARGETS_PER_MESSAGE
             self._next_for[peer] = end if end < len(listed) else 0
-            return Message(wanted, listed[start:end])
+            return Message(wanted, known, listed[start:end])
 
     def merge(self, message: Message, sender: str, now_s: float) -> None:
         """Take in what a peer told.
@@ -66,4 +70,5 @@
                 self._next_for.setdefault(sender, 0)
             else:
                 self._next_for.pop(sender, None)
-        self._targets.borrow(message.targets, now_s)
+        if message.known:
+            self._targets.borrow(message.targets, now_s)
--- a/wigeonfall/serving/path_parts.py
+++ b/wigeonfall/serving/path_parts.py
@@ -58,7 +58,7 @@
             outcome.ok, outcome.first_byte_s, outcome.pace_s
         )
         versions.observe(
-            target.service, target.version, outcome.route, result, now_s
+            target.service, outcome.version, outcome.route, result, now_s
         )
 
     available = control.membership.targets
--- a/wigeonfall/serving/process.py
+++ b/wigeonfall/serving/process.py
@@ -53,12 +53,14 @@
 
 
 def _wait_until_usable(process: Process) -> None:
-    """Wait until the configuration is confirmed and targets are known."""
+    """Wait until configuration, targets and rollouts are known."""
     control = process.control
     while not control.configuration.wait_until_confirmed(POLL_S):
         if process.stopping.is_set():
             return
-    while not control.membership.targets.known():
+    while not (
+        control.membership.targets.known() and process.rollouts.ready()
+    ):
         if process.stopping.wait(KNOWN_POLL_S):
             return
 
