--- a/tests/failure/test_stops.py
+++ b/tests/failure/test_stops.py
@@ -123,6 +123,20 @@
     processes.wait_for(served)
 
 
+def _restart_all(load: Load) -> list[int]:
+    """Restart each instance in turn, and return their exit statuses."""
+    fleet = load.fleet
+    statuses = []
+    for _ in range(RESTARTS):
+        for name in tuple(fleet.instances):
+            before = load.whole
+            processes.wait_for(lambda: load.whole > before)
+            statuses.append(fleet.instances[name].process.stop(60))
+            fleet.restart_instance(name)
+            processes.wait_for(lambda: name in load.ready)
+    return statuses
+
+
 def test_ten_restarts_of_every_instance_cut_nothing(
     tmp_path: pathlib.Path,
 ) -> None:
@@ -132,15 +146,10 @@
         with futures.ThreadPoolExecutor(CALLERS + 1) as pool:
             works = [pool.submit(load.balance)]
             works += [pool.submit(load.call, i) for i in range(CALLERS)]
-            statuses = []
-            for _ in range(RESTARTS):
-                for name in tuple(fleet.instances):
-                    before = load.whole
-                    processes.wait_for(lambda: load.whole > before)
-                    statuses.append(fleet.instances[name].process.stop(60))
-                    fleet.restart_instance(name)
-                    processes.wait_for(lambda: name in load.ready)
-            load.stopping.set()
+            try:
+                statuses = _restart_all(load)
+            finally:
+                load.stopping.set()
             for work in works:
                 work.result()
     assert load.faults == []
