--- a/wigeonfall/cli.py
+++ b/wigeonfall/cli.py
@@ -11,17 +11,24 @@
 from . import errors
 from . import ini
 from . import recorder
+from . import rollout_commands
 from . import settings as settings_module
 from . import timeline
 from . import VERSION
+from .adapters import platform
 from .commands.common import ExitCode
 from .commands.common import Output
 from .commands import configuration as configuration_commands
+from .serving import assembly
 from .serving import process
 
 app = typer.Typer(no_args_is_help=True, help='Schedule requests to engines.')
 configuration_commands.register(app)
 
+app.add_typer(
+    rollout_commands.make_app(platform.make_platform), name='rollout'
+)
+
 SettingsFile = Annotated[
     pathlib.Path, typer.Option(help='INI file of the process.')
 ]
@@ -44,7 +51,7 @@
         _fail(configuration.err_value)
     recorder.log_to_stdout(process_settings.log.level)
     try:
-        made = process.make_process(process_settings, configuration.ok_value)
+        made = assembly.make_process(process_settings, configuration.ok_value)
     except errors.WigeonfallError as error:
         typer.echo(str(error), err=True)
         raise typer.Exit(ExitCode.FAULT) from error
