--- a/tests/failure/test_configuration.py
+++ b/tests/failure/test_configuration.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 import pathlib
+import socket
 
 import pytest
 
@@ -119,6 +120,9 @@
     for instance in fleet.instances.values():
         url = f'http://{instance.operators_address}/ready'
         assert processes.answers(url, 503)
+        host, _, port = instance.callers_address.rpartition(':')
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection((host, int(port)))
     processes.set_switches(fleet.platform_address, outage=False)
     for name, instance in fleet.instances.items():
         fleet.wait_until_ready(instance)
--- a/wigeonfall/serving/process.py
+++ b/wigeonfall/serving/process.py
@@ -36,33 +36,45 @@
     rollout_control.run(
         process.rollouts, process.rollout_control, process.stopping
     )
-    callers_address = process.callers_server.begin()
     operators_address = operators.start(process.operators_server)
-    _wait_until_usable(process)
-    process.ready.set()
-    record(
-        Event.PROCESS_READY,
-        callers_address=callers_address,
-        operators_address=operators_address,
-    )
-    process.stopping.wait()
-    _stop(process)
+    if _wait_until_usable(process):
+        _serve_callers(process, operators_address)
+    process.operators_server.stop()
+    process.ledger.close(LEDGER_STOP_S)
+    process.ledger_client.close()
     server.close()
     process.loop.stop()
     record(Event.STOP_FINISHED)
 
 
-def _wait_until_usable(process: Process) -> None:
-    """Wait until configuration, targets and rollouts are known."""
+def _wait_until_usable(process: Process) -> bool:
+    """Wait until configuration, targets and rollouts are known.
+
+    Returns:
+        Whether they are, or False when a stop was asked for.
+    """
     control = process.control
     while not control.configuration.wait_until_confirmed(POLL_S):
         if process.stopping.is_set():
-            return
+            return False
     while not (
         control.membership.targets.known() and process.rollouts.ready()
     ):
         if process.stopping.wait(KNOWN_POLL_S):
-            return
+            return False
+    return True
+
+
+def _serve_callers(process: Process, operators_address: str) -> None:
+    callers_address = process.callers_server.begin()
+    process.ready.set()
+    process.recorder.record(
+        Event.PROCESS_READY,
+        callers_address=callers_address,
+        operators_address=operators_address,
+    )
+    process.stopping.wait()
+    _stop(process)
 
 
 async def _speak_to_peers(process: Process) -> None:
@@ -99,6 +111,3 @@
     process.control.membership.leave()
     time.sleep(stop.settle_s)
     process.callers_server.drain(stop.quiet_s)
-    process.operators_server.stop()
-    process.ledger.close(LEDGER_STOP_S)
-    process.ledger_client.close()
