Refuse a check of nothing and read one variable in all commands

Cause: 'wigeonfall check' without a file said 'no faults' and exited with 0, so a script that lost its file name passed. The rollout commands read WIGEONFALL_PLATFORM_ADDRESS, the others WIGEONFALL_PLATFORM. Options of 'rollout start' had no unit in their help.

Change: a check of nothing is a fault of the options (exit code 2), the rollout commands read both variables, the help names units.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -145,7 +145,7 @@
 @pytest.mark.parametrize(
     'arguments, code',
     (
-        (('check',), 0),
+        (('check',), 2),
         (('check', '--no-such-option'), 2),
         (('check', 'missing.ini'), 2),
         (('diff', 'missing.ini', '--platform=127.0.0.1:1'), 2),
@@ -211,3 +211,12 @@
     )
     assert 'targets' in shown.stdout
     assert 'timeline' not in shown.stdout
+
+
+@pytest.mark.parametrize('command', ('status', 'targets', 'rollout status x'))
+def test_all_commands_take_the_platform_from_one_variable(
+    command: str,
+) -> None:
+    shown = _run(*command.split(), WIGEONFALL_PLATFORM='127.0.0.1:1')
+    assert shown.exit_code != 0
+    assert 'port=1' in shown.stderr
--- a/wigeonfall/commands/configuration.py
+++ b/wigeonfall/commands/configuration.py
@@ -72,6 +72,8 @@
     output: OutputForm = Output.TABLE,
 ) -> None:
     """Check files and print each fault with its file and line."""
+    if base is None and settings is None:
+        raise typer.BadParameter('name a base file or --settings')
     faults: ini.Faults = ()
     if settings is not None:
         read = settings_module.read_process_settings(settings)
--- a/wigeonfall/rollout_commands.py
+++ b/wigeonfall/rollout_commands.py
@@ -30,7 +30,7 @@
     str,
     typer.Option(
         '--platform',
-        envvar='WIGEONFALL_PLATFORM_ADDRESS',
+        envvar=['WIGEONFALL_PLATFORM', 'WIGEONFALL_PLATFORM_ADDRESS'],
         help='"host:port" of the platform.',
     ),
 ]
@@ -51,13 +51,15 @@
     @app.command()
     def start(
         service: Service,
-        new_version: Annotated[str, typer.Option('--to', help='Version.')],
-        old_version: Annotated[str, typer.Option('--from', help='Version.')],
-        deadline_s: Annotated[float, typer.Option(help='Time from now.')],
+        new_version: Annotated[str, typer.Option('--to', help='New version.')],
+        old_version: Annotated[
+            str, typer.Option('--from', help='Old version.')
+        ],
+        deadline_s: Annotated[float, typer.Option(help='Seconds from now.')],
         why: Why,
         platform: PlatformAddress,
         bake_s: Annotated[
-            float, typer.Option(help='Time under full load.')
+            float, typer.Option(help='Seconds under full load.')
         ] = 600.0,
         orders: Annotated[
             bool, typer.Option(help='Order targets to load the version.')
@@ -83,7 +85,9 @@
     def status(
         service: Service,
         platform: PlatformAddress,
-        as_json: Annotated[bool, typer.Option('--json')] = False,
+        as_json: Annotated[
+            bool, typer.Option('--json', help='Print JSON.')
+        ] = False,
     ) -> None:
         """Show a service's rollout and its moves."""
         got = connect(platform).get(rollouts.KIND, service)
