--- a/wigeonfall/adapters/tls.py
+++ b/wigeonfall/adapters/tls.py
@@ -75,10 +75,14 @@
         The contexts, or None without a certificate.
 
     Raises:
-        TlsError: a file cannot be read or does not fit the others.
+        TlsError: a file cannot be read or does not fit the others, or there
+            is no authority.
     """
     if not certificate_file:
         return None
+    if not authority_file:
+        # The authorities of the operating system would be trusted instead.
+        raise TlsError(f'{certificate_file}: peers need an authority')
     try:
         return (
             _peers_context(
