Read the time line over TLS, and miss the base file in a check

Cause: 'timeline' spoke plain text only, so instances whose operators' port has TLS could not be read (exit code 3, connection aborted).

Catching OSError besides urllib3's errors was tried and dropped: missing files come as urllib3's errors in all five cases tried.

The TLS test fails with the scheme or the certificate left out.

--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -50,6 +50,7 @@
         ('instance', 'data_center', 1),
         ('listen', 'callers_address', 4),
         ('platform', 'timeout', 9),
+        ('configuration', 'base_file', 0),
     ]
 
 
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -5,8 +5,12 @@
 
 import hypothesis
 from hypothesis import strategies as st
+import prometheus_client
 import pytest
+import trustme
 
+from wigeonfall.adapters import operators
+from wigeonfall.adapters import tls
 from wigeonfall import clock
 from wigeonfall import recorder
 from wigeonfall import timeline
@@ -86,3 +90,39 @@
     assert timeline.describe(entry) == (
         '00:01:01.007+2 z1 703 peer unreachable peer=b'
     )
+
+
+def test_instances_with_tls_and_a_key_are_read(tmp_path: pathlib.Path) -> None:
+    files = timeline.TlsFiles(
+        *(str(tmp_path / name) for name in ('ca.pem', 'own.pem', 'key.pem'))
+    )
+    authority = trustme.CA()
+    authority.cert_pem.write_to_path(files.authority_file)
+    own = authority.issue_cert('127.0.0.1')
+    own.cert_chain_pems[0].write_to_path(files.certificate_file)
+    own.private_key_pem.write_to_path(files.key_file)
+    entry = _entry('z1', clock.Stamp(5, 1))
+    shown = operators.Operators(
+        ready=lambda: True,
+        pages={'/events': lambda: [recorder.to_json(entry)]},
+        key='secret',
+        registry=prometheus_client.CollectorRegistry(),
+    )
+    adapter = tls.make_http_adapter(
+        files.certificate_file, files.key_file, files.authority_file
+    )
+    server = operators.make_server('127.0.0.1:0', shown, adapter)
+    address = operators.start(server)
+    try:
+        assert timeline.read_instance(address, 'secret', files) == (entry,)
+        with pytest.raises(timeline.TimelineError, match='status 401'):
+            timeline.read_instance(address, 'other', files)
+        unknown = timeline.TlsFiles(files.authority_file)
+        for refused in (unknown, timeline.TlsFiles()):
+            with pytest.raises(timeline.TimelineError):
+                timeline.read_instance(address, 'secret', refused)
+        missing = timeline.TlsFiles(str(tmp_path / 'missing'))
+        with pytest.raises(timeline.TimelineError):
+            timeline.read_instance(address, 'secret', missing)
+    finally:
+        server.stop()
--- a/wigeonfall/cli.py
+++ b/wigeonfall/cli.py
@@ -67,11 +67,21 @@
     output: Annotated[Output, typer.Option(help='Form of the output.')] = (
         Output.TABLE
     ),
+    authority_file: Annotated[
+        str, typer.Option(help="PEM authority of instances' certificates.")
+    ] = '',
+    certificate_file: Annotated[
+        str, typer.Option(help='PEM certificate to show to instances.')
+    ] = '',
+    key_file: Annotated[
+        str, typer.Option(help='PEM private key of that certificate.')
+    ] = '',
 ) -> None:
     """Merge the events of files and instances in causal order."""
     key = settings_module.read_secret('operators_key', '')
+    files = timeline.TlsFiles(authority_file, certificate_file, key_file)
     try:
-        read = [_read_events(source, key) for source in sources]
+        read = [_read_events(source, key, files) for source in sources]
     except timeline.TimelineError as error:
         typer.echo(str(error), err=True)
         raise typer.Exit(ExitCode.UNREACHABLE) from error
@@ -88,11 +98,13 @@
     typer.echo(VERSION)
 
 
-def _read_events(source: str, key: str) -> tuple[recorder.Entry, ...]:
+def _read_events(
+    source: str, key: str, files: timeline.TlsFiles
+) -> tuple[recorder.Entry, ...]:
     path = pathlib.Path(source)
     if path.exists() or ':' not in source:
         return timeline.read_file(path)
-    return timeline.read_instance(source, key)
+    return timeline.read_instance(source, key, files)
 
 
 def _fail(faults: ini.Faults) -> NoReturn:
--- a/wigeonfall/settings.py
+++ b/wigeonfall/settings.py
@@ -58,7 +58,7 @@
 class ConfigurationSettings:
     """Files of the configuration that a process starts with."""
 
-    base_file: str = ''
+    base_file: str
     overlay_file: str = ''
 
 
--- a/wigeonfall/timeline.py
+++ b/wigeonfall/timeline.py
@@ -7,6 +7,7 @@
 import json
 import pathlib
 
+import attrs
 import urllib3
 
 from . import errors
@@ -16,6 +17,22 @@
 _TIMEOUT_S = 5.0
 
 
+@attrs.frozen
+class TlsFiles:
+    """PEM files for operators' ports that have TLS.
+
+    Attributes:
+        authority_file: authority of the instances' certificates; without
+            one the ports are read in plain text.
+        certificate_file: certificate to show, or '' if they ask for none.
+        key_file: private key of that certificate, or ''.
+    """
+
+    authority_file: str = ''
+    certificate_file: str = ''
+    key_file: str = ''
+
+
 class TimelineError(errors.WigeonfallError):
     """Events of an instance or a file cannot be read."""
 
@@ -36,12 +53,15 @@
         raise TimelineError(f'{path}: {error}') from error
 
 
-def read_instance(address: str, operators_key: str) -> tuple[Entry, ...]:
+def read_instance(
+    address: str, operators_key: str, tls_files: TlsFiles
+) -> tuple[Entry, ...]:
     """Return the events that an instance holds in memory.
 
     Args:
         address: "host:port" of its operators' port.
         operators_key: key for the port, or ''.
+        tls_files: what TLS needs.
 
     Raises:
         TimelineError: the instance gives no events.
@@ -50,13 +70,10 @@
     if operators_key:
         headers['Authorization'] = f'Bearer {operators_key}'
     try:
-        response = urllib3.request(
-            'GET',
-            f'http://{address}/events',
-            headers=headers,
-            timeout=_TIMEOUT_S,
-            retries=False,
-        )
+        with _make_pool(tls_files) as pool:
+            response = pool.request(
+                'GET', _events_url(address, tls_files), headers=headers
+            )
         if response.status != 200:
             raise TimelineError(f'{address}: status {response.status}')
         return tuple(recorder.from_json(item) for item in response.json())
@@ -64,6 +81,21 @@
         raise TimelineError(f'{address}: {error}') from error
 
 
+def _make_pool(tls_files: TlsFiles) -> urllib3.PoolManager:
+    return urllib3.PoolManager(
+        timeout=_TIMEOUT_S,
+        retries=False,
+        ca_certs=tls_files.authority_file or None,
+        cert_file=tls_files.certificate_file or None,
+        key_file=tls_files.key_file or None,
+    )
+
+
+def _events_url(address: str, tls_files: TlsFiles) -> str:
+    scheme = 'https' if tls_files.authority_file else 'http'
+    return f'{scheme}://{address}/events'
+
+
 def merge(sources: Iterable[Iterable[Entry]]) -> Iterator[Entry]:
     """Return the events of all sources in causal order, each once."""
     ordered = [sorted(source, key=_order) for source in sources]
