Choose targets by learned cost instead of by tokens and prefix alone

Cause: the arbiter kept a prefix at one target by hash and bounded its load in tokens. It did not know that engines differ several times in speed, nor that a dossier was being read there, so questions waited behind dossiers.

Change: Pool asks placement.Placement, which keeps for each target and version a decayed time per prefill and decode token, the answers seen side by side, a bounded memory of prefixes, and the requests under way. Instances tell the arbiter when a streamed answer begins, with X-Cached-Tokens, and its pace at the end. An instance cut off from the arbiter uses what it saw itself.

--- a/tests/fakes/arbitration.py
+++ b/tests/fakes/arbitration.py
@@ -10,6 +10,7 @@
 from wigeonfall.model import service
 from wigeonfall.model import target
 from wigeonfall.model import tier
+from wigeonfall.policy import grants
 from wigeonfall.ports import arbiters as port
 from wigeonfall.serving import admission
 from wigeonfall.serving import arbiter
@@ -103,6 +104,7 @@
             lambda held, waiting: line.up.append((held, waiting)),
             lambda pending: line.up.append(pending),
             lambda wait_id: line.up.append(wait_id),
+            lambda report: line.up.append(report),
         )
         self.lines[node] = (line, at)
         self.nodes[node].attach(line.link, self.now_s)
@@ -141,6 +143,10 @@
             self.arbiters[at].connect(line.session, *item, self.now_s)
         elif isinstance(item, str):
             self.arbiters[at].receive(line.session, (), (item,), self.now_s)
+        elif isinstance(item, grants.Report):
+            self.arbiters[at].receive(
+                line.session, (), (), self.now_s, (item,)
+            )
         else:
             self.arbiters[at].receive(line.session, (item,), (), self.now_s)
 
--- a/tests/fakes/memory_targets.py
+++ b/tests/fakes/memory_targets.py
@@ -31,6 +31,7 @@
         open_error: how opening fails, or None.
         read_error: how reading fails after the chunks, or None.
         revoke_after: chunks after which the grant is revoked, or None.
+        headers: headers of the answer.
     """
 
     status: int = 200
@@ -38,6 +39,7 @@
     open_error: port.AttemptError | None = None
     read_error: port.AttemptError | None = None
     revoke_after: int | None = None
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 class MemoryTargets:
@@ -48,6 +50,7 @@
         self.attempts: list[port.Attempt] = []
         self.closed = 0
         self.released = 0
+        self.told: list[object] = []
         self._script_for = script_for
         self._revoked = threading.Event()
 
@@ -71,7 +74,9 @@
                 raise port.AttemptFailed(script.read_error)
             return b''
 
-        return Ok(port.TargetAnswer(script.status, (), read, self._close))
+        return Ok(
+            port.TargetAnswer(script.status, script.headers, read, self._close)
+        )
 
     def acquire(
         self,
@@ -84,7 +89,14 @@
             return Err(refusal.not_run(refusal.Code.NO_TARGET, 'planned'))
         self._revoked = threading.Event()
         granted = target.Target('t1', request.service.name, 'dc', 'h:1')
-        return Ok(local_admission.Grant(granted, self._revoked, self._release))
+        grant = local_admission.Grant(
+            granted,
+            self._revoked,
+            self._release,
+            began=lambda cached_tokens: self.told.append(cached_tokens),
+            paced=lambda pace_s: self.told.append('paced'),
+        )
+        return Ok(grant)
 
     def _close(self) -> None:
         self.closed += 1
--- a/tests/serving/test_admission.py
+++ b/tests/serving/test_admission.py
@@ -3,6 +3,7 @@
 import threading
 import time
 
+import attrs
 import hypothesis
 from hypothesis import strategies
 from result import Ok
@@ -366,3 +367,44 @@
     first.release()
     thread.join()
     assert later[0].ok_value.target.name == 'a'
+
+
+def test_arbiter_learns_from_reports_of_instances():
+    """A prompt goes back to the target that one instance says to hold it."""
+    fleet = arbitration.Fleet(2, 1)
+    for node in range(2):
+        fleet.connect(node, 0)
+    fleet.settle()
+    fleet.tick(1.0)
+
+    def send(node, name, hashes):
+        made = arbitration.make_request(
+            name, 1, fleet.now_s + 60, fleet.now_s, 20
+        )
+        made = attrs.evolve(made, prefix_hashes=hashes, prompt_tokens=2048)
+        made = attrs.evolve(
+            made,
+            service=attrs.evolve(made.service, outstanding_tokens=9000),
+        )
+        wait = fleet.nodes[node].submit(made, frozenset(), fleet.now_s)
+        fleet.settle()
+        return wait.outcome.ok_value
+
+    homes = []
+    for number in range(1, 5):
+        hashes = tuple(range(number * 10, number * 10 + 8))
+        grant = send(0, f'first{number}', hashes)
+        fleet.tick(1.0)
+        grant.began(0)
+        grant.paced(0.02)
+        grant.release()
+        fleet.settle()
+        homes.append((hashes, grant.target.name))
+    for hashes, home in homes:
+        grant = send(1, f'again{home}', hashes)
+        assert grant.target.name == home
+        fleet.tick(0.01)
+        grant.began(2048)
+        grant.release()
+        fleet.settle()
+    assert {home for _, home in homes} == {'a', 'b'}
--- a/tests/serving/test_relay.py
+++ b/tests/serving/test_relay.py
@@ -132,3 +132,24 @@
         only_target_twice=False,
     )
     assert b''.join(_stream(targets)) == WHOLE
+
+
+def test_answers_are_told_to_the_arbiter():
+    """What a target says of its cache is passed on, then the pace."""
+    told = []
+    for status, header in ((200, '512'), (200, 'many'), (500, '512')):
+        script = memory_targets.Script(
+            status=status,
+            chunks=(WHOLE,),
+            headers=(('X-Cached-Tokens', header),),
+        )
+        targets = memory_targets.MemoryTargets(lambda _, s=script: s)
+        opened = relay.open_stream(
+            memory_targets.make_attempts(targets, 0),
+            memory_targets.make_request(),
+        )
+        if isinstance(opened, Ok):
+            for _ in opened.ok_value:
+                pass
+        told.append(targets.told)
+    assert told == [[512, 'paced'], [None, 'paced'], []]
--- a/wigeonfall/adapters/admission_messages.py
+++ b/wigeonfall/adapters/admission_messages.py
@@ -9,6 +9,7 @@
 from ..policy.grants import Granted
 from ..policy.grants import Held
 from ..policy.grants import Pending
+from ..policy.grants import Report
 from ..policy.grants import Revoked
 from ..policy.grants import Shed
 from ..policy.grants import ShedReason
@@ -69,6 +70,9 @@
         prefix_hash=pending.prefix_hash,
         excluded_targets=sorted(pending.excluded_targets),
         version=pending.version,
+        prefix_hashes=pending.prefix_hashes,
+        prompt_tokens=pending.prompt_tokens,
+        answer_tokens=pending.answer_tokens,
     )
 
 
@@ -89,6 +93,28 @@
         prefix_hash=message.prefix_hash,
         excluded_targets=frozenset(message.excluded_targets),
         version=message.version,
+        prefix_hashes=tuple(message.prefix_hashes),
+        prompt_tokens=message.prompt_tokens,
+        answer_tokens=message.answer_tokens,
+    )
+
+
+def encode_report(report: Report) -> admission_pb2.Report:
+    """Return the message that carries a report on an answer."""
+    pace_us = None
+    if report.pace_s is not None:
+        pace_us = max(0, round(report.pace_s * 1_000_000))
+    return admission_pb2.Report(
+        id=report.id, cached_tokens=report.cached_tokens, pace_us=pace_us
+    )
+
+
+def decode_report(message: admission_pb2.Report) -> Report:
+    """Return the report that a message carries."""
+    return Report(
+        message.id,
+        message.cached_tokens if message.HasField('cached_tokens') else None,
+        message.pace_us / 1_000_000 if message.HasField('pace_us') else None,
     )
 
 
--- a/wigeonfall/adapters/admission_peers.py
+++ b/wigeonfall/adapters/admission_peers.py
@@ -20,6 +20,7 @@
 from ..model.service import Service
 from ..policy.grants import Held
 from ..policy.grants import Pending
+from ..policy.grants import Report
 from ..policy import rendezvous
 from ..ports.arbiters import Link
 from ..recorder import Record
@@ -200,7 +201,7 @@
     id: str
 
 
-_Item: TypeAlias = _Begin | Pending | _Done
+_Item: TypeAlias = _Begin | Pending | _Done | Report
 
 
 def _make_link(outbox: Outbox[_Item]) -> Link:
@@ -208,6 +209,7 @@
         begin=lambda held, waiting: outbox.put(_Begin(held, waiting)),
         enqueue=outbox.put,
         done=lambda wait_id: outbox.put(_Done(wait_id)),
+        report=outbox.put,
     )
 
 
@@ -268,6 +270,8 @@
                 message.waiting.append(
                     admission_messages.encode_pending(item, now_s)
                 )
+            case Report():
+                message.reports.append(admission_messages.encode_report(item))
             case _Done():
                 message.done.append(item.id)
     return message
--- a/wigeonfall/adapters/admission_server.py
+++ b/wigeonfall/adapters/admission_server.py
@@ -85,12 +85,16 @@
     ) -> None:
         while True:
             message = await _receive(stream)
-            if not message.waiting and not message.done:
+            if not (message.waiting or message.done or message.reports):
                 continue
             now_s = time.monotonic()
             waiting = _waiting(message, session.holder, now_s)
             done = tuple(message.done)
-            self._arbiters.receive(session, waiting, done, now_s)
+            reports = tuple(
+                admission_messages.decode_report(item)
+                for item in message.reports
+            )
+            self._arbiters.receive(session, waiting, done, now_s, reports)
 
 
 def _waiting(
--- a/wigeonfall/policy/admission.py
+++ b/wigeonfall/policy/admission.py
@@ -14,7 +14,6 @@
 import heapq
 from typing import TypeAlias
 
-from . import affinity
 from ..model.target import Target
 from .fair_queue import FairQueue
 from .grants import Decision
@@ -22,10 +21,12 @@
 from .grants import Held
 from .grants import Pending
 from .grants import PoolLimits
+from .grants import Report
 from .grants import Revoked
 from .grants import Shed
 from .grants import ShedReason
 from .grants import TargetLoad
+from .placement import Placement
 from .target_account import TargetAccount
 
 PREEMPTION_WAIT_S = 0.25
@@ -62,14 +63,15 @@
     Args:
         limits: bounds of the pool.
         choose: returns the name of one of the targets with room for a
-            request.
+            request, or None to go by their learned costs.
     """
 
     def __init__(
-        self, limits: PoolLimits, choose: Choose = affinity.choose
+        self, limits: PoolLimits, choose: Choose | None = None
     ) -> None:
         self._limits = limits
-        self._choose = choose
+        self._placement = Placement()
+        self._choose = choose or self._placement.choose
         self._targets: dict[str, TargetAccount] = {}
         self._held: dict[str, Held] = {}
         self._queues: dict[int, FairQueue] = {}
@@ -95,6 +97,7 @@
         """Set the limits and the targets that take new work."""
         self._limits = limits
         versions = {target.name: target.version for target in targets}
+        self._placement.configure(versions)
         for name in versions.keys() - self._targets.keys():
             self._targets[name] = TargetAccount(name)
         for name, account in tuple(self._targets.items()):
@@ -125,6 +128,7 @@
 
     def release(self, held_id: str) -> None:
         """Give a grant back; unknown identifiers are fine."""
+        self._placement.released(held_id)
         held = self._held.pop(held_id, None)
         if held is None:
             return
@@ -147,6 +151,16 @@
         self._held[held.id] = held
         self._running[held.rank] = self._running.get(held.rank, 0) + 1
 
+    def sent(self, pending: Pending, target: str, now_s: float) -> None:
+        """Count a grant that was given now and learn from its answer."""
+        if pending.id not in self._held:
+            self.hold(held_of(pending, target, now_s))
+            self._placement.granted(pending, target, now_s)
+
+    def report(self, report: Report, now_s: float) -> None:
+        """Learn from the answer to a granted request."""
+        self._placement.reported(report, now_s)
+
     def forget_waiting(self, holder: str) -> None:
         """Drop the waiting requests of a holder."""
         for queue in self._queues.values():
@@ -236,7 +250,7 @@
         ]
         target = self._choose(pending, loads, now_s)
         self._queues[pending.rank].take(pending)
-        self.hold(held_of(pending, target, now_s))
+        self.sent(pending, target, now_s)
         return Granted(pending.id, pending.holder, target)
 
     def _reserve(
--- a/wigeonfall/policy/grants.py
+++ b/wigeonfall/policy/grants.py
@@ -23,6 +23,9 @@
         prefix_hash: hash of the leading block of the prompt, or 0.
         excluded_targets: names of targets that must not be chosen.
         version: version that the target must serve, or '' for any.
+        prefix_hashes: sampled hashes of the prompt's leading blocks.
+        prompt_tokens: estimated tokens to read.
+        answer_tokens: most tokens to generate.
     """
 
     id: str
@@ -37,6 +40,9 @@
     prefix_hash: int = 0
     excluded_targets: frozenset[str] = frozenset()
     version: str = ''
+    prefix_hashes: tuple[int, ...] = ()
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
 
 
 @attrs.frozen
@@ -64,6 +70,22 @@
     deadline_s: float
 
 
+@attrs.frozen
+class Report:
+    """What a holder tells of the answer to a granted request.
+
+    Attributes:
+        id: identifier of the wait that the grant ended.
+        cached_tokens: prompt tokens that the target's cache held, or None.
+        pace_s: mean time between the tokens of a whole answer, or None when
+            the answer has only begun.
+    """
+
+    id: str
+    cached_tokens: int | None = None
+    pace_s: float | None = None
+
+
 class ShedReason(enum.Enum):
     """Why a wait ended without a grant."""
 
--- a/wigeonfall/ports/arbiters.py
+++ b/wigeonfall/ports/arbiters.py
@@ -6,6 +6,7 @@
 
 from ..policy.grants import Held
 from ..policy.grants import Pending
+from ..policy.grants import Report
 
 
 @attrs.frozen
@@ -16,8 +17,10 @@
         begin: sends all that the instance holds and waits for, once.
         enqueue: asks for a grant.
         done: ends a wait or gives a grant back, by identifier.
+        report: tells of the answer to a granted request.
     """
 
     begin: Callable[[tuple[Held, ...], tuple[Pending, ...]], None]
     enqueue: Callable[[Pending], None]
     done: Callable[[str], None]
+    report: Callable[[Report], None] = lambda _report: None
--- a/wigeonfall/serving/admission.py
+++ b/wigeonfall/serving/admission.py
@@ -28,9 +28,11 @@
 from ..policy.grants import Granted
 from ..policy.grants import Held
 from ..policy.grants import Pending
+from ..policy.grants import Report
 from ..policy.grants import Revoked
 from ..policy.grants import Shed
 from ..policy.grants import ShedReason
+from ..policy import prefixes
 from ..policy import shares
 from ..ports.arbiters import Link
 from ..recorder import Record
@@ -84,6 +86,9 @@
         prefix_hash=request.prefix_hashes[0] if request.prefix_hashes else 0,
         excluded_targets=excluded,
         version=request.version,
+        prefix_hashes=prefixes.sample(request.prefix_hashes),
+        prompt_tokens=request.prompt_tokens,
+        answer_tokens=request.answer_tokens,
     )
 
 
@@ -224,6 +229,12 @@
                 self._done(wait_id)
                 self._decide_locally(self._monotonic())
 
+    def _report(self, report: Report) -> None:
+        with self._lock:
+            self._local.report(report, self._monotonic())
+            if self._link is not None:
+                self._link.report(report)
+
     def _local_limits(self) -> admission.PoolLimits:
         limits = shares.pool_limits(self._service, 1)
         return shares.local_share(limits, len(self._live_instances()))
@@ -258,13 +269,17 @@
             self._done(decision.id)
             self._wait_elsewhere(wait, decision.target, now_s)
             return
-        self._local.hold(
-            admission.held_of(wait.pending, decision.target, now_s)
-        )
+        self._local.sent(wait.pending, decision.target, now_s)
         revoked = threading.Event()
         self._revoked[decision.id] = revoked
         wait_id = decision.id
-        grant = Grant(target, revoked, lambda: self._release(wait_id))
+        grant = Grant(
+            target,
+            revoked,
+            lambda: self._release(wait_id),
+            lambda cached_tokens: self._report(Report(wait_id, cached_tokens)),
+            lambda pace_s: self._report(Report(wait_id, pace_s=pace_s)),
+        )
         wait.end(Ok(grant))
 
     def _target(self, name: str, now_s: float) -> Target | None:
--- a/wigeonfall/serving/arbiter.py
+++ b/wigeonfall/serving/arbiter.py
@@ -17,6 +17,7 @@
 from ..policy.grants import Decision
 from ..policy.grants import Held
 from ..policy.grants import Pending
+from ..policy.grants import Report
 from ..policy import shares
 from ..recorder import Record
 from .admission import holder_of
@@ -200,13 +201,16 @@
         waiting: tuple[Pending, ...],
         done: tuple[str, ...],
         now_s: float,
+        reports: tuple[Report, ...] = (),
     ) -> None:
-        """Take new waits and ended waits and grants of an instance."""
+        """Take new waits, ended waits and grants, and reports on answers."""
         arbiter = self._pools.get(session.pool)
         if arbiter is None or arbiter.sessions.get(session.holder) != session:
             return
         for pending in waiting:
             arbiter.pool.enqueue(pending)
+        for report in reports:
+            arbiter.pool.report(report, now_s)
         for wait_id in done:
             arbiter.pool.cancel(wait_id)
         self._decide(session.pool, now_s)
--- a/wigeonfall/serving/attempts.py
+++ b/wigeonfall/serving/attempts.py
@@ -209,6 +209,9 @@
         return Err(failed)
     first_byte_s = time.monotonic() - began_s
     _note_met(attempts, grant.target, opened.ok_value)
+    # The head of any other answer comes only after its last token.
+    if request.stream and opened.ok_value.status < 300:
+        grant.began(_cached_tokens(opened.ok_value))
     return Ok(Try(attempt.id, grant, opened.ok_value, began_s, first_byte_s))
 
 
@@ -227,6 +230,12 @@
     attempts.met(met, time.monotonic())
 
 
+def _cached_tokens(answer: TargetAnswer) -> int | None:
+    headers = {name.lower(): value for name, value in answer.headers}
+    cached = headers.get('x-cached-tokens', '')
+    return int(cached) if cached.isdecimal() and len(cached) < 9 else None
+
+
 def _attempt(
     request: Request,
     target: Target,
@@ -269,12 +278,14 @@
         events: events of a stream that this try gave.
     """
     begun.answer.close()
-    begun.grant.release()
     now_s = time.monotonic()
     total_s = now_s - begun.began_s
     pace_s = None
     if events > 1:
         pace_s = (total_s - begun.first_byte_s) / (events - 1)
+    if pace_s is not None and ok:
+        begun.grant.paced(pace_s)
+    begun.grant.release()
     outcome = Outcome(
         begun.grant.target,
         request.route,
