Let each test of placement fail for its own mechanism

Cause: with the cache estimate switched off, the test that a prompt returns to its target still passed, since one idle target got all documents; nothing tested the wait for slots; a wait with all hashes did not break the bound on its size, as no example had 64 blocks.

Change: documents are sent at once and so spread over all targets; a test of a full engine; an example with 64 blocks.

Seen to fail: these three with the estimate, the wait for slots and the sampling of hashes switched off (the last with 586 of 400 bytes).

Conclusion: no change of the code.

--- a/tests/adapters/test_admission_messages.py
+++ b/tests/adapters/test_admission_messages.py
@@ -12,6 +12,7 @@
 HASHES = strategies.lists(strategies.integers(0, 2**64 - 1), max_size=64)
 
 
+@hypothesis.example(list(range(1, 65)), 2**31)
 @hypothesis.given(HASHES, strategies.integers(0, 2**31))
 def test_what_a_request_costs_arrives(hashes, tokens):
     """The estimates of a request survive, in a message of bounded size."""
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -125,15 +125,34 @@
     """Each of several documents stays where it was read first."""
     engines = Engines((8000, 8000, 8000))
     now_s = engines.learn()
-    homes = {}
-    for number in range(6):
-        sent = engines.send(now_s, LONG_TOKENS, prompt_hashes(number))
-        homes[number] = sent[1]
-        now_s = engines.answer(sent, now_s, LONG_TOKENS)
+    sent = [
+        engines.send(now_s, LONG_TOKENS, prompt_hashes(number))
+        for number in range(6)
+    ]
+    assert len({name for _, name in sent}) == len(TARGETS)
+    for each in sent:
+        now_s = engines.answer(each, now_s, LONG_TOKENS)
     for number in reversed(range(6)):
-        sent = engines.send(now_s, LONG_TOKENS, prompt_hashes(number))
-        assert sent[1] == homes[number]
-        now_s = engines.answer(sent, now_s, 0, LONG_TOKENS)
+        again = engines.send(now_s, LONG_TOKENS, prompt_hashes(number))
+        assert again[1] == sent[number][1]
+        now_s = engines.answer(again, now_s, 0, LONG_TOKENS)
+
+
+def test_full_engine_is_avoided():
+    """A request does not queue for a slot while another engine has some."""
+    engines = Engines((16_000, 8000))
+    now_s = engines.learn()
+    for name, count in (('a', 2), ('b', 6)):
+        sent = [
+            engines.send(now_s, excluded=set(TARGETS) - {name})
+            for _ in range(count)
+        ]
+        for wait_id, _ in sent:
+            engines.pool.report(grants.Report(wait_id, 0), now_s + 0.01)
+        if name == 'b':
+            for wait_id, _ in sent:
+                engines.pool.release(wait_id)
+    assert engines.send(now_s + 0.02)[1] == 'b'
 
 
 def test_hot_prefix_does_not_overload_one_target():
