Give all commands the same exit codes, and events one name for a field

Cause: exit code 2 of a rollout command meant a faulty option, an unknown effect or a platform that gave no answer; events of orders called the request 'request' and the text of a failure 'problem' where others say 'request_id' and 'detail'. Ruled out: a table of exceptions in the guide, which scripts cannot read. Change: rollout commands use the codes of the others and stand beside them in commands/; the fields have the common names. Conclusion: one table of exit codes holds for all commands.

--- a/tests/test_rollout_commands.py
+++ b/tests/commands/test_rollout.py
@@ -6,7 +6,8 @@
 from typer import testing
 
 from tests.fakes import memory_platform
-from wigeonfall import rollout_commands
+from wigeonfall.commands.common import ExitCode
+from wigeonfall.commands import rollout
 
 START = (
     'start lm --from v1 --to v2 --deadline-s 3600 --why better --who ana'
@@ -22,7 +23,7 @@
 @pytest.fixture
 def run(platform):
     """Return a function that runs one command."""
-    app = rollout_commands.make_app(lambda address: platform.port())
+    app = rollout.make_app(lambda address: platform.port())
     env = {'WIGEONFALL_PLATFORM_ADDRESS': '127.0.0.1:1'}
 
     def run_one(*args):
@@ -52,13 +53,20 @@
 
 def test_refusals_have_their_exit_code(run):
     """A move that does not apply is told from one of unknown effect."""
-    assert run('status', 'lm').exit_code == rollout_commands.EXIT_REFUSED
+    assert run('status', 'lm').exit_code == ExitCode.CONFLICT
     assert run(*START).exit_code == 0
     second = run(*START)
-    assert second.exit_code == rollout_commands.EXIT_REFUSED
+    assert second.exit_code == ExitCode.CONFLICT
     assert 'has not ended' in second.stderr
 
 
+def test_an_outage_is_told_apart(run, platform):
+    """Nothing was changed, and a later try may succeed."""
+    platform.down = True
+    for command in (START, ['status', 'lm']):
+        assert run(*command).exit_code == ExitCode.UNREACHABLE
+
+
 def test_unknown_effect_is_told(run, platform):
     """A lost answer in an outage leaves the operator to look again."""
     platform.lose_writes = 1
@@ -71,5 +79,5 @@
 
     platform._write = write_then_fail
     done = run(*START)
-    assert done.exit_code == rollout_commands.EXIT_UNKNOWN
+    assert done.exit_code == ExitCode.UNKNOWN
     assert 'look at the status' in done.stderr
--- a/wigeonfall/cli.py
+++ b/wigeonfall/cli.py
@@ -11,7 +11,6 @@
 from . import errors
 from . import ini
 from . import recorder
-from . import rollout_commands
 from . import settings as settings_module
 from . import timeline
 from . import VERSION
@@ -19,15 +18,14 @@
 from .commands.common import ExitCode
 from .commands.common import Output
 from .commands import configuration as configuration_commands
+from .commands import rollout
 from .serving import assembly
 from .serving import process
 
 app = typer.Typer(no_args_is_help=True, help='Schedule requests to engines.')
 configuration_commands.register(app)
 
-app.add_typer(
-    rollout_commands.make_app(platform.make_platform), name='rollout'
-)
+app.add_typer(rollout.make_app(platform.make_platform), name='rollout')
 
 SettingsFile = Annotated[
     pathlib.Path, typer.Option(help='INI file of the process.')
--- a/wigeonfall/rollout_commands.py
+++ b/wigeonfall/commands/rollout.py
@@ -13,15 +13,13 @@
 from result import Result
 import typer
 
-from .model.rollout import Rollout
-from .policy import rollout as policy
-from .ports.platform import Platform
-from .ports.platform import PlatformErrorKind
-from .serving import rollout_changes as changes
-from .serving import rollouts
-
-EXIT_REFUSED = 1
-EXIT_UNKNOWN = 2
+from ..model.rollout import Rollout
+from ..policy import rollout as policy
+from ..ports.platform import Platform
+from ..ports.platform import PlatformErrorKind
+from ..serving import rollout_changes as changes
+from ..serving import rollouts
+from .common import ExitCode
 
 Connect = Callable[[str], Platform]
 
@@ -93,8 +91,8 @@
         got = connect(platform).get(rollouts.KIND, service)
         if isinstance(got, Err):
             if got.err_value.kind is PlatformErrorKind.NOT_FOUND:
-                _fail(f'service {service} has no rollout', EXIT_REFUSED)
-            _fail(got.err_value.message, EXIT_UNKNOWN)
+                _fail(f'service {service} has no rollout', ExitCode.CONFLICT)
+            _fail(got.err_value.message, ExitCode.UNREACHABLE)
         value = got.ok_value.value
         if as_json:
             typer.echo(json.dumps(value))
@@ -135,12 +133,15 @@
         refused = made.err_value
         if refused.effect_unknown:
             text = f'{refused.message}; look at the status before a new try'
-            _fail(text, EXIT_UNKNOWN)
-        _fail(refused.message, EXIT_REFUSED)
+            _fail(text, ExitCode.UNKNOWN)
+        code = ExitCode.CONFLICT
+        if refused.unreachable:
+            code = ExitCode.UNREACHABLE
+        _fail(refused.message, code)
     typer.echo(describe(made.ok_value))
 
 
-def _fail(message: str, code: int) -> NoReturn:
+def _fail(message: str, code: ExitCode) -> NoReturn:
     typer.echo(message, err=True)
     raise typer.Exit(code)
 
--- a/wigeonfall/serving/ledger.py
+++ b/wigeonfall/serving/ledger.py
@@ -172,7 +172,7 @@
             Event.SLICE_OWNER_UNREACHABLE,
             slice=_slice_name(number),
             owner=owner.name,
-            problem=decisions.err_value.message,
+            detail=decisions.err_value.message,
         )
         return decisions
 
--- a/wigeonfall/serving/orders.py
+++ b/wigeonfall/serving/orders.py
@@ -95,11 +95,13 @@
         if decision.verdict is not Verdict.GRANTED:
             self.record(
                 Event.ORDER_REPEATED,
-                request=request.id,
+                request_id=request.id,
                 verdict=decision.verdict.value,
             )
             return _outcome_without_run(decision)
-        self.record(Event.ORDER_CLAIMED, request=request.id, claim=claim.claim)
+        self.record(
+            Event.ORDER_CLAIMED, request_id=request.id, claim=claim.claim
+        )
         outcome = self._dispatch(request, dispatch)
         self._settle(request, claim, outcome)
         return outcome
@@ -161,8 +163,8 @@
                 self.ledger.submit(order.Settle(claim, OrderState.RELEASED))
             self.record(
                 Event.CLAIM_FAILED,
-                request=request.id,
-                problem=decided.err_value.message,
+                request_id=request.id,
+                detail=decided.err_value.message,
             )
         return decided
 
@@ -185,12 +187,12 @@
     ) -> None:
         settle = _settlement(claim, outcome)
         event = _SETTLED_EVENTS[settle.state]
-        self.record(event, request=request.id, claim=claim.claim)
+        self.record(event, request_id=request.id, claim=claim.claim)
         recorded = _wait(self.ledger.submit(settle), OUTCOME_WAIT_S)
         if isinstance(recorded, Err):
             self.record(
                 Event.OUTCOME_NOT_RECORDED,
-                request=request.id,
+                request_id=request.id,
                 claim=claim.claim,
             )
 
--- a/wigeonfall/serving/rollout_changes.py
+++ b/wigeonfall/serving/rollout_changes.py
@@ -34,10 +34,12 @@
     Attributes:
         message: why, in one sentence.
         effect_unknown: whether it may have been made after all.
+        unreachable: whether the platform gave no answer in any try.
     """
 
     message: str
     effect_unknown: bool = False
+    unreachable: bool = False
 
 
 def new_move(
@@ -99,7 +101,7 @@
             return Ok(changed.ok_value)
         message = wrote.err_value.message
         unknown = unknown or wrote.err_value.effect_unknown
-    return Err(Refused(message, unknown))
+    return Err(Refused(message, unknown, unreachable=not unknown))
 
 
 def _read(
