Keep connections to targets whose answer came in one piece

Cause: a profile of 200 short requests showed 200 connections to the engine. The parser forgets whether a connection stays open once an answer is whole, so an answer that came in one receive was taken for the last on its connection. Ruled out: the engine, which keeps connections; an answer in two segments was reused in the test. Change: what the head says is noted at the end of the head.

--- a/tests/adapters/test_targets.py
+++ b/tests/adapters/test_targets.py
@@ -4,6 +4,7 @@
 import threading
 import time
 
+import pytest
 from result import Err
 from result import Ok
 
@@ -153,8 +154,18 @@
     assert _read(opened) == b'abcdef'
 
 
-def test_a_connection_serves_again_once_its_answer_was_whole() -> None:
-    address, accepted = _serve_chunks(CHUNKED, b'2\r\nok\r\n0\r\n\r\n')
+@pytest.mark.parametrize(
+    'segments',
+    [
+        (CHUNKED, b'2\r\nok\r\n0\r\n\r\n'),
+        (CHUNKED + b'2\r\nok\r\n0\r\n\r\n',),
+        (_head(2) + b'ok',),
+    ],
+)
+def test_a_connection_serves_again_once_its_answer_was_whole(
+    segments: tuple[bytes, ...],
+) -> None:
+    address, accepted = _serve_chunks(*segments)
     made = targets_adapter.make_targets()
     for _ in range(3):
         assert _read(made.open(_attempt(address))) == b'ok'
--- a/wigeonfall/adapters/http_response.py
+++ b/wigeonfall/adapters/http_response.py
@@ -24,6 +24,8 @@
         self.headers: list[tuple[str, str]] = []
         self.body: list[bytes] = []
         self.head_done = False
+        self.keep_alive = False
+        self.parser: httptools.HttpResponseParser | None = None
         self.whole = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -31,7 +33,12 @@
         self.headers.append((name.decode('latin-1'), value.decode('latin-1')))
 
     def on_headers_complete(self) -> None:
-        """Note the end of the head."""
+        """Note the end of the head, and what it says of the connection.
+
+        The parser forgets the latter at the end of the answer.
+        """
+        if self.parser is not None:
+            self.keep_alive = self.parser.should_keep_alive()
         self.head_done = True
 
     def on_body(self, body: bytes) -> None:
@@ -101,6 +108,7 @@
     """
     parts = _Parts()
     parser = httptools.HttpResponseParser(parts)
+    parts.parser = parser
     while not parts.head_done:
         _receive(sock, parser)
     bodiless = method == 'HEAD'
@@ -108,7 +116,7 @@
     return Response(
         parser.get_status_code(),
         tuple(parts.headers),
-        parser.should_keep_alive() and not bodiless,
+        parts.keep_alive and not bodiless,
         sock,
         parser,
         parts,
