Remove the admission that nothing uses any more

Cause: the first path's local queue was replaced by admission through arbiters, but its class still stood in local_admission.py. Change: the class is gone; what both shared, the grant, is grant.py. Conclusion: no behaviour changed.

--- a/tests/fakes/memory_targets.py
+++ b/tests/fakes/memory_targets.py
@@ -16,7 +16,7 @@
 from wigeonfall.model import tier
 from wigeonfall.ports import targets as port
 from wigeonfall.serving import attempts as attempts_module
-from wigeonfall.serving import local_admission
+from wigeonfall.serving import grant as grant_module
 
 FAR_S = 1e12
 
@@ -83,13 +83,13 @@
         request: request_module.Request,
         excluded: frozenset[str],
         now_s: float,
-    ) -> Result[local_admission.Grant, object]:
+    ) -> Result[grant_module.Grant, object]:
         """Grant any request at once, unless the only target is excluded."""
         if 't1' in excluded and not self.only_target_twice:
             return Err(refusal.not_run(refusal.Code.NO_TARGET, 'planned'))
         self._revoked = threading.Event()
         granted = target.Target('t1', request.service.name, 'dc', 'h:1')
-        grant = local_admission.Grant(
+        grant = grant_module.Grant(
             granted,
             self._revoked,
             self._release,
--- a/wigeonfall/serving/admission.py
+++ b/wigeonfall/serving/admission.py
@@ -36,8 +36,8 @@
 from ..policy import shares
 from ..ports.arbiters import Link
 from ..recorder import Record
-from .local_admission import Grant
-from .local_admission import LiveTargets
+from .grant import Grant
+from .grant import LiveTargets
 
 LOCAL_PERIOD_S = 0.05
 WAIT_PERIOD_S = 0.25
--- a/wigeonfall/serving/arbiter.py
+++ b/wigeonfall/serving/arbiter.py
@@ -23,7 +23,7 @@
 from .admission import holder_of
 from .admission import LiveInstances
 from .admission import name_of
-from .local_admission import LiveTargets
+from .grant import LiveTargets
 
 LEARNING_S = 0.5
 MISSING_GRACE_S = 30.0
--- a/wigeonfall/serving/attempts.py
+++ b/wigeonfall/serving/attempts.py
@@ -19,7 +19,7 @@
 from ..ports.targets import AttemptFailed
 from ..ports.targets import TargetAnswer
 from ..recorder import Record
-from .local_admission import Grant
+from .grant import Grant
 
 ChooseVersion = Callable[[Request, frozenset[str], float], Request]
 
--- a/wigeonfall/serving/retrying.py
+++ b/wigeonfall/serving/retrying.py
@@ -15,7 +15,7 @@
 from ..model.target import Target
 from ..ports.targets import AttemptError
 from .attempts import Attempts
-from .local_admission import Grant
+from .grant import Grant
 
 SAME_TARGET_DELAY_S = 0.05
 
