Name the options of rollout commands as those of the others

Ruled out: both names side by side, since nothing was released yet. Change: one set of names; the view of a rollout has a module of its own.

Conclusion: an operator learns one set of options.

--- a/tests/commands/test_rollout.py
+++ b/tests/commands/test_rollout.py
@@ -10,7 +10,8 @@
 from wigeonfall.commands import rollout
 
 START = (
-    'start lm --from v1 --to v2 --deadline-s 3600 --why better --who ana'
+    'start lm --from v1 --to v2 --deadline-s 3600'
+    ' --reason better --operator ana'
 ).split()
 
 
@@ -36,9 +37,9 @@
     """The status tells the whole story of a rollout."""
     assert run(*START).exit_code == 0
     for what in ('pause', 'resume', 'take-back'):
-        done = run(what, 'lm', '--why', f'{what} it', '--who', 'ben')
+        done = run(what, 'lm', '--reason', f'{what} it', '--operator', 'ben')
         assert done.exit_code == 0, done.output
-    status = json.loads(run('status', 'lm', '--json').stdout)
+    status = json.loads(run('status', 'lm', '--output', 'json').stdout)
     assert status['phase'] == 'taken-back'
     told = [(m['what'], m['who'], m['why']) for m in status['moves']]
     assert told == [
--- a/wigeonfall/commands/rollout.py
+++ b/wigeonfall/commands/rollout.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 import datetime
 import getpass
-import json
 import time
 from typing import Annotated
 from typing import NoReturn
@@ -20,6 +19,8 @@
 from ..serving import rollout_changes as changes
 from ..serving import rollouts
 from .common import ExitCode
+from .common import Output
+from .common import print_json
 
 Connect = Callable[[str], Platform]
 
@@ -32,9 +33,14 @@
         help='"host:port" of the platform.',
     ),
 ]
-Why = Annotated[str, typer.Option(help='Reason, for the time line.')]
+Why = Annotated[
+    str, typer.Option('--reason', help='Reason, for the time line.')
+]
 Who = Annotated[
-    str, typer.Option(help='Name of the operator.', show_default=False)
+    str,
+    typer.Option(
+        '--operator', help='Name of the operator.', show_default=False
+    ),
 ]
 
 
@@ -83,9 +89,9 @@
     def status(
         service: Service,
         platform: PlatformAddress,
-        as_json: Annotated[
-            bool, typer.Option('--json', help='Print JSON.')
-        ] = False,
+        output: Annotated[
+            Output, typer.Option(help='Form of the output.')
+        ] = Output.TABLE,
     ) -> None:
         """Show a service's rollout and its moves."""
         got = connect(platform).get(rollouts.KIND, service)
@@ -94,8 +100,8 @@
                 _fail(f'service {service} has no rollout', ExitCode.CONFLICT)
             _fail(got.err_value.message, ExitCode.UNREACHABLE)
         value = got.ok_value.value
-        if as_json:
-            typer.echo(json.dumps(value))
+        if output is Output.JSON:
+            print_json(value)
         else:
             typer.echo(describe(cattrs.structure(value, Rollout)))
 
--- a/wigeonfall/serving/rollouts.py
+++ b/wigeonfall/serving/rollouts.py
@@ -24,6 +24,7 @@
 from ..recorder import Record
 from . import rollout_exchange as exchange
 from .rollout_trial import Trial
+from .rollout_view import View
 
 KIND = 'rollouts'
 TOPIC = 'rollouts'
@@ -33,22 +34,6 @@
 Members = Callable[[], tuple[str, ...]]
 
 
-@attrs.frozen
-class _View:
-    """What the path of a request needs of a rollout.
-
-    Attributes:
-        rollout: the newest known rollout of a service.
-        share: share of the new version at this instance.
-        allowed: requests that this instance may give the new version in
-            all, or None without a limit.
-    """
-
-    rollout: Rollout
-    share: float
-    allowed: int | None
-
-
 class Rollouts:
     """The rollouts that one instance knows and its evidence on them."""
 
@@ -67,7 +52,7 @@
         self._known: dict[str, exchange.Known] = {}
         self._findings: dict[str, exchange.Finding] = {}
         self._trials: dict[str, Trial] = {}
-        self._views: dict[str, _View] = {}
+        self._views: dict[str, View] = {}
         self._lives_unix_s: dict[str, float] = {}
         self._fresh_unix_s = 0.0
         self._unix_offset_s = 0.0
@@ -116,7 +101,7 @@
             return rollout.old_version
         return rollout.new_version
 
-    def _take(self, view: _View) -> bool:
+    def _take(self, view: View) -> bool:
         """Count a request for the new version against the first limit."""
         if view.allowed is None:
             return True
@@ -263,23 +248,23 @@
             for service, known in self._known.items()
         }
 
-    def _view(self, rollout: Rollout, now_unix_s: float) -> _View:
+    def _view(self, rollout: Rollout, now_unix_s: float) -> View:
         bad = rollout.id in self._findings
         share = policy.local_share(rollout, bad, now_unix_s)
         if rollout.id in self._trials:
             now_s = now_unix_s - self._unix_offset_s
             share = self._trials[rollout.id].lowered(share, now_s)
         if rollout.steps > 1 or rollout.phase.final:
-            return _View(rollout, share, None)
+            return View(rollout, share, None)
         order = rendezvous.ranked(rollout.id, self._members())
         if self._instance not in order:
-            return _View(rollout, share, 0)
+            return View(rollout, share, 0)
         allowed = policy.requests_allowed(
             rollout.criteria.first_requests,
             order.index(self._instance),
             len(order),
         )
-        return _View(rollout, share, allowed)
+        return View(rollout, share, allowed)
 
     def active(self) -> tuple[exchange.Known, ...]:
         """Return the newest known rollouts that have not ended."""
