--- a/wigeonfall/events.py
+++ b/wigeonfall/events.py
@@ -16,6 +16,10 @@
     PROCESS_READY = (102, logging.INFO, 'process ready')
     STOP_BEGUN = (103, logging.INFO, 'planned stop begun')
     STOP_FINISHED = (104, logging.INFO, 'planned stop finished')
+    SETTINGS_RELOADED = (105, logging.INFO, 'settings read again')
+    SETTINGS_REFUSED = (106, logging.ERROR, 'settings cannot be used')
+    CLOCK_PAUSED = (107, logging.WARNING, 'process stood still')
+    LISTEN_FAILED = (108, logging.ERROR, 'address cannot be served')
 
     REQUEST_ANSWERED = (201, logging.INFO, 'request answered')
     REQUEST_REFUSED = (202, logging.INFO, 'request refused')
@@ -24,6 +28,11 @@
     ANSWER_DISCARDED = (205, logging.WARNING, 'answer of another attempt')
     HANDLING_FAILED = (206, logging.ERROR, 'fault while handling a call')
 
+    REQUEST_PASSED_ON = (207, logging.INFO, 'answer passed on')
+    REQUEST_TURNED_AWAY = (208, logging.INFO, 'request turned away')
+    CALL_REJECTED = (209, logging.INFO, 'call rejected')
+    CALLER_LEFT = (210, logging.INFO, 'caller left')
+
     ORDER_CLAIMED = (301, logging.INFO, 'order claimed')
     ORDER_DONE = (302, logging.INFO, 'order done')
     ORDER_RELEASED = (303, logging.INFO, 'claim of order released')
@@ -48,6 +57,9 @@
     CONFIGURATION_REPORTED = (503, logging.INFO, 'site status written')
     INSTANCES_CHANGED = (510, logging.INFO, 'live instances changed')
     INCARNATION_RAISED = (511, logging.WARNING, 'own name used by another')
+    TABLE_IN_FORCE = (512, logging.INFO, 'routing table in force')
+    OBJECT_UNREADABLE = (513, logging.WARNING, 'stored object unreadable')
+    TARGETS_CHANGED = (514, logging.INFO, 'targets changed')
     TARGET_LEAVING = (520, logging.INFO, 'target leaves')
     TARGET_HELD_BACK = (521, logging.WARNING, 'target held back')
 
@@ -66,6 +78,11 @@
     PLATFORM_REACHABLE = (702, logging.INFO, 'platform reachable')
     PEER_UNREACHABLE = (703, logging.WARNING, 'peer unreachable')
     PEER_REACHABLE = (704, logging.INFO, 'peer reachable')
+    WATCH_LOST = (706, logging.WARNING, 'watch of the store lost')
+    WATCH_REGAINED = (707, logging.INFO, 'watch of the store regained')
+    SNAPSHOT_TAKEN = (708, logging.INFO, 'state taken from a peer')
+    MESSAGE_UNREADABLE = (709, logging.WARNING, 'message of a peer unreadable')
+    REGISTRATION_FAILED = (710, logging.WARNING, 'instance not registered')
     TOPIC_UNREADABLE = (705, logging.WARNING, 'state of a topic unreadable')
 
     def __init__(self, number: int, level: int, message: str) -> None:
--- /dev/null
+++ b/wigeonfall/forwarding/internal.py
@@ -0,0 +1,70 @@
+"""Small pages for the balancer, for metrics and for other instances."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Mapping
+import http
+import json
+import time
+from typing import Any, TypeAlias
+
+from .callers import Call
+from .callers import Handle
+from .callers import Reply
+from .exchange import ExchangeError
+from .exchange import TargetConnections
+
+SNAPSHOT_PATH = b'/snapshot'
+FETCH_TIMEOUT_S = 1.0  # a peer answers from memory
+SNAPSHOT_BYTES = 16 << 20
+
+Page: TypeAlias = Callable[[], tuple[int, bytes]]
+
+
+def make_handle(pages: Mapping[bytes, Page]) -> Handle:
+    """Return a function that answers calls by their path."""
+
+    async def handle(call: Call, reply: Reply) -> None:
+        page = pages.get(call.path.partition(b'?')[0])
+        if page is None:
+            reply.send(http.HTTPStatus.NOT_FOUND, (), b'')
+            return
+        status, body = page()
+        reply.send(status, (), body)
+
+    return handle
+
+
+async def fetch_snapshot(
+    connections: TargetConnections, address: str
+) -> dict[str, Any]:
+    """Return the snapshot of a peer.
+
+    Args:
+        connections: connections of this instance.
+        address: "host:port" of the peer.
+
+    Raises:
+        ExchangeError: the peer gave none.
+    """
+    host = address.encode()
+    request = b'GET %s HTTP/1.1\r\nHost: %s\r\n\r\n' % (SNAPSHOT_PATH, host)
+    try:
+        async with asyncio.timeout(FETCH_TIMEOUT_S):
+            exchange = await connections.send(
+                address, b'', request, fresh=True, now_s=time.monotonic()
+            )
+            try:
+                await exchange.head()
+                body = await exchange.read_whole(SNAPSHOT_BYTES)
+            finally:
+                exchange.close()
+    except TimeoutError as error:
+        raise ExchangeError('peer is silent', sent=True) from error
+    try:
+        value = json.loads(body or b'')
+    except ValueError as error:
+        raise ExchangeError('snapshot unreadable', sent=True) from error
+    if not isinstance(value, dict):
+        raise ExchangeError('snapshot unreadable', sent=True)
+    return value
--- /dev/null
+++ b/wigeonfall/forwarding/path.py
@@ -0,0 +1,408 @@
+"""The path of one call: matched, admitted, placed, sent and answered."""
+
+import asyncio
+from collections.abc import Callable
+import http
+import random
+import time
+
+import attrs
+from result import Err
+
+from . import attempt as attempt_module
+from ..events import Event
+from ..policy import resend_budget
+from ..policy import routing
+from ..policy import waiting
+from ..recorder import Record
+from .attempt import Attempts
+from .attempt import Outcome
+from .attempt import Result as AttemptResult
+from .callers import Call
+from .callers import Reply
+from .dialect import Dialect
+from .placing import Place
+from .placing import Placing
+from .work import match
+from .work import Rejection
+from .work import Work
+
+NO_TABLE_RETRY_S = 0.5  # a start takes about as long
+RESENDS = 2  # after refusals of targets, for one request
+RETURN_SHARE = 0.95  # callers that come back have less time than others
+
+
+@attrs.frozen
+class PathParts:
+    """What the path of a call needs.
+
+    Attributes:
+        index: returns the routing table in force, or None.
+        names: header names.
+        placing: waits for targets.
+        attempts: what is needed to send requests.
+        take_tokens: takes a request's tokens; returns None or a delay.
+        give_tokens_back: returns them if the request did not run.
+        version_of: whether a target may get a request, by their names.
+        resend: whether the budget allows another target, by service.
+        requested: counts a request of a caller, by service.
+        record: records events.
+    """
+
+    index: Callable[[], routing.RoutingIndex | None]
+    names: Dialect
+    placing: Placing
+    attempts: Attempts
+    take_tokens: Callable[[Work, float], float | None]
+    give_tokens_back: Callable[[Work], None]
+    suits: Callable[[Work, str], bool]
+    resend: Callable[[str, float], bool]
+    requested: Callable[[str, float], None]
+    record: Record
+
+
+@attrs.define
+class Progress:
+    """How far a request has come.
+
+    Attributes:
+        ran: whether a target may have run it.
+        runs: targets that may have run it.
+        refusals: targets that refused it.
+        sent: attempts so far.
+        excluded: targets that get no further attempt.
+        waited_s: time spent in the queue.
+        target: name of the last target.
+    """
+
+    ran: bool = False
+    runs: int = 0
+    refusals: int = 0
+    sent: int = 0
+    excluded: set[str] = attrs.field(factory=set)
+    waited_s: float = 0.0
+    target: str = ''
+
+
+class Path:
+    """Answers calls.
+
+    Args:
+        parts: what the path needs.
+    """
+
+    def __init__(self, parts: PathParts) -> None:
+        self._parts = parts
+        self._longest_s: dict[str, float] = {}
+        self._sequence = 0
+
+    async def handle(self, call: Call, reply: Reply) -> None:
+        """Answer one call."""
+        index = self._parts.index()
+        if index is None:
+            self._refuse_unknown(reply, 'no configuration yet')
+            return
+        matched = match(index, call, self._parts.names)
+        if isinstance(matched, Err):
+            self._reject(call, reply, matched.err_value)
+            return
+        work = matched.ok_value
+        now_s = time.monotonic()
+        delay_s = self._parts.take_tokens(work, now_s)
+        if delay_s is not None:
+            self._refuse(
+                work,
+                reply,
+                Progress(),
+                http.HTTPStatus.TOO_MANY_REQUESTS,
+                'customer over its limit',
+                delay_s,
+            )
+            return
+        self._parts.requested(work.service, now_s)
+        progress = Progress()
+        try:
+            await self._answer(work, reply, progress)
+        except asyncio.CancelledError:
+            self._parts.record(
+                Event.CALLER_LEFT,
+                request_id=work.id,
+                target=progress.target,
+                ran=progress.ran,
+                total_ms=_elapsed_ms(work),
+            )
+            raise
+        finally:
+            if not progress.ran:
+                self._parts.give_tokens_back(work)
+
+    async def _answer(
+        self, work: Work, reply: Reply, progress: Progress
+    ) -> None:
+        left_s = work.deadline_s - time.monotonic()
+        try:
+            async with asyncio.timeout(left_s):
+                await self._try_targets(work, reply, progress)
+        except TimeoutError:
+            self._out_of_time(work, reply, progress)
+
+    async def _try_targets(
+        self, work: Work, reply: Reply, progress: Progress
+    ) -> None:
+        relay = attempt_module.Relay(reply)
+        while True:
+            place = await self._acquire(work, progress)
+            if place is None:
+                self._no_room(work, reply, progress, relay)
+                return
+            progress.target = place.target.name
+            progress.sent += 1
+            try:
+                result = await attempt_module.run(
+                    self._parts.attempts, work, place.target, relay, progress
+                )
+            finally:
+                self._parts.placing.release(work.service, place)
+            if result.outcome is Outcome.ANSWERED:
+                self._note_answer(work, progress, result)
+                return
+            self._note_failure(work, progress, result)
+            if not self._may_go_on(work, progress, result):
+                self._fail(work, reply, progress, relay, result)
+                return
+            progress.excluded.add(place.target.name)
+
+    async def _acquire(self, work: Work, progress: Progress) -> Place | None:
+        now_s = time.monotonic()
+        left_s = work.deadline_s - now_s
+        route = work.route
+        wait_s = waiting.wait_limit_s(
+            route.streaming, route.answer_goal_s, route.pace_goal_s, left_s
+        )
+        self._sequence += 1
+        wish = waiting.Wish(
+            id=f'{work.id}/{self._sequence}',
+            rank=work.rank,
+            returned=self._returned(work) or progress.sent > 0,
+            arrived_s=work.call.arrived_s,
+            goal_s=work.call.arrived_s + route.answer_goal_s / 2,
+            give_up_s=now_s + wait_s,
+            suits=lambda name: (
+                name not in progress.excluded and self._parts.suits(work, name)
+            ),
+        )
+        place = await self._parts.placing.acquire(work.service, wish)
+        progress.waited_s += time.monotonic() - now_s
+        return place
+
+    def _returned(self, work: Work) -> bool:
+        longest_s = max(
+            self._longest_s.get(work.route.name, 0.0), work.caller_s
+        )
+        self._longest_s[work.route.name] = longest_s
+        return work.caller_s < RETURN_SHARE * longest_s
+
+    def _may_go_on(
+        self, work: Work, progress: Progress, result: AttemptResult
+    ) -> bool:
+        now_s = time.monotonic()
+        if now_s >= work.deadline_s:
+            return False
+        if result.outcome is Outcome.NOT_RUN:
+            progress.refusals += 1
+            if progress.refusals > RESENDS:
+                return False
+        else:
+            progress.runs += 1
+            if not work.route.repeatable:
+                return False
+            if progress.runs >= work.route.attempts_limit:
+                return False
+        if result.outcome is Outcome.NOT_CONNECTED:
+            return True
+        return self._parts.resend(work.service, now_s)
+
+    def _note_answer(
+        self, work: Work, progress: Progress, result: AttemptResult
+    ) -> None:
+        self._parts.record(
+            Event.REQUEST_PASSED_ON,
+            request_id=work.id,
+            route=work.route.name,
+            customer=work.customer.name if work.customer else '',
+            rank=work.rank,
+            target=progress.target,
+            status=result.status,
+            attempts=progress.sent,
+            events=result.events,
+            waited_ms=round(progress.waited_s * 1000),
+            first_ms=round(result.first_s * 1000),
+            longest_pause_ms=round(result.longest_pause_s * 1000),
+            total_ms=_elapsed_ms(work),
+        )
+
+    def _note_failure(
+        self, work: Work, progress: Progress, result: AttemptResult
+    ) -> None:
+        self._parts.record(
+            Event.ATTEMPT_FAILED,
+            request_id=work.id,
+            attempt_id=str(progress.sent),
+            target=progress.target,
+            kind=result.outcome.value,
+            detail=result.detail,
+            ran=progress.ran,
+        )
+
+    def _no_room(
+        self,
+        work: Work,
+        reply: Reply,
+        progress: Progress,
+        relay: attempt_module.Relay,
+    ) -> None:
+        if progress.ran or relay.begun:
+            self._fail(work, reply, progress, relay, None)
+            return
+        left_s = work.call.arrived_s + work.caller_s - time.monotonic()
+        pressure = self._parts.placing.pressure(work.service)
+        delay_s = waiting.retry_after_s(left_s, pressure, random.random())
+        self._refuse(
+            work,
+            reply,
+            progress,
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
+            'no target had room in time',
+            delay_s,
+        )
+
+    def _fail(
+        self,
+        work: Work,
+        reply: Reply,
+        progress: Progress,
+        relay: attempt_module.Relay,
+        result: AttemptResult | None,
+    ) -> None:
+        """Give the final answer after the last attempt."""
+        if relay.begun:
+            self._record_refusal(work, progress, 0, 'answer broke off')
+            return
+        if result is not None and result.answer is not None:
+            answer = result.answer
+            reply.send(answer.status, answer.headers, answer.body)
+            self._note_answer(work, progress, result)
+            return
+        if progress.ran:
+            self._refuse(
+                work,
+                reply,
+                progress,
+                http.HTTPStatus.BAD_GATEWAY,
+                'attempt failed',
+                None,
+            )
+            return
+        left_s = work.call.arrived_s + work.caller_s - time.monotonic()
+        delay_s = waiting.retry_after_s(left_s, 0.0, random.random())
+        self._refuse(
+            work,
+            reply,
+            progress,
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
+            'targets refused',
+            delay_s,
+        )
+
+    def _out_of_time(
+        self, work: Work, reply: Reply, progress: Progress
+    ) -> None:
+        if reply.begun:
+            self._record_refusal(work, progress, 0, 'out of time')
+            return
+        status = http.HTTPStatus.SERVICE_UNAVAILABLE
+        if progress.ran:
+            status = http.HTTPStatus.GATEWAY_TIMEOUT
+        self._refuse(work, reply, progress, status, 'out of time', None)
+
+    def _refuse_unknown(self, reply: Reply, reason: str) -> None:
+        headers = (_retry_after(NO_TABLE_RETRY_S),)
+        reply.send(http.HTTPStatus.SERVICE_UNAVAILABLE, headers, b'')
+        self._parts.record(
+            Event.CALL_REJECTED, status=503, reason=reason, request_id=''
+        )
+
+    def _reject(self, call: Call, reply: Reply, rejected: Rejection) -> None:
+        reply.send(rejected.status, (), b'')
+        name = self._parts.names.request_id.lower()
+        self._parts.record(
+            Event.CALL_REJECTED,
+            request_id=call.header(name).decode('latin-1'),
+            status=rejected.status,
+            reason=rejected.reason,
+        )
+
+    def _refuse(
+        self,
+        work: Work,
+        reply: Reply,
+        progress: Progress,
+        status: http.HTTPStatus,
+        reason: str,
+        delay_s: float | None,
+    ) -> None:
+        headers = () if delay_s is None else (_retry_after(delay_s),)
+        reply.send(status, headers, b'')
+        self._record_refusal(
+            work, progress, int(status), reason, delay_s or 0.0
+        )
+
+    def _record_refusal(
+        self,
+        work: Work,
+        progress: Progress,
+        status: int,
+        reason: str,
+        delay_s: float = 0.0,
+    ) -> None:
+        self._parts.record(
+            Event.REQUEST_TURNED_AWAY,
+            request_id=work.id,
+            route=work.route.name,
+            customer=work.customer.name if work.customer else '',
+            rank=work.rank,
+            status=status,
+            reason=reason,
+            ran=progress.ran,
+            attempts=progress.sent,
+            target=progress.target,
+            waited_ms=round(progress.waited_s * 1000),
+            retry_after_ms=round(delay_s * 1000),
+            total_ms=_elapsed_ms(work),
+        )
+
+
+def make_resends(
+    limits: Callable[[], resend_budget.ResendLimits],
+    instances: Callable[[], int],
+) -> tuple[Callable[[str, float], None], Callable[[str, float], bool]]:
+    """Return functions that count requests, and that take resends."""
+    budgets: dict[str, resend_budget.ResendBudget] = {}
+
+    def requested(service: str, now_s: float) -> None:
+        budget = budgets.setdefault(service, resend_budget.ResendBudget())
+        budget.requested(now_s)
+
+    def resend(service: str, now_s: float) -> bool:
+        budget = budgets.setdefault(service, resend_budget.ResendBudget())
+        return budget.take(limits(), instances(), now_s)
+
+    return requested, resend
+
+
+def _retry_after(delay_s: float) -> tuple[bytes, bytes]:
+    return b'Retry-After', b'%.2f' % delay_s
+
+
+def _elapsed_ms(work: Work) -> int:
+    return round((time.monotonic() - work.call.arrived_s) * 1000)
--- /dev/null
+++ b/wigeonfall/forwarding/peers.py
@@ -0,0 +1,234 @@
+"""What instances tell each other: load, tokens taken and what they know.
+
+Messages are datagrams that repeat the whole state of their sender, so that
+lost, late and reordered ones do no harm.
+"""
+
+import asyncio
+from collections.abc import Callable
+import json
+from typing import Any
+
+import attrs
+
+from ..events import Event
+from ..policy.room import PeerLoad
+from ..recorder import Record
+
+SEND_LEAST_S = 0.03  # between two messages
+SEND_MOST_S = 0.25  # heartbeat
+HEARD_S = 1.2  # several heartbeats
+KNOWN_S = 30.0  # a peer that is silent for longer is forgotten
+
+
+@attrs.frozen
+class Message:
+    """The state of one instance.
+
+    Attributes:
+        name: name of the instance.
+        incarnation: random number that tells its starts apart.
+        sequence: grows with each message of one start.
+        address: "host:port" of its datagrams and its snapshot.
+        outstanding: requests by target.
+        waiting: waiting requests by service and rank.
+        taken: tokens taken so far by customer.
+        revisions: newest known change by kind of object.
+        peers: addresses of the instances that it hears.
+        evidence: counts of answers, by version and outcome.
+    """
+
+    name: str
+    incarnation: int
+    sequence: int
+    address: str
+    outstanding: dict[str, int]
+    waiting: dict[str, dict[int, int]]
+    taken: dict[str, float]
+    revisions: dict[str, int]
+    peers: tuple[str, ...] = ()
+    evidence: dict[str, int] = attrs.field(factory=dict)
+
+
+def encode(message: Message) -> bytes:
+    """Return the bytes of a message."""
+    return json.dumps(attrs.asdict(message), separators=(',', ':')).encode()
+
+
+def decode(data: bytes) -> Message:
+    """Return the message of some bytes.
+
+    Raises:
+        ValueError: the bytes are no message.
+    """
+    try:
+        fields: dict[str, Any] = json.loads(data)
+        fields['waiting'] = {
+            service: {int(rank): int(n) for rank, n in counts.items()}
+            for service, counts in fields['waiting'].items()
+        }
+        fields['peers'] = tuple(fields['peers'])
+        return Message(**fields)
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise ValueError(f'no message of a peer: {error!r}') from error
+
+
+@attrs.define
+class Peer:
+    """What was last heard of one peer.
+
+    Attributes:
+        message: its newest message.
+        heard_s: when it came, on the monotonic clock.
+    """
+
+    message: Message
+    heard_s: float
+
+
+class Peers:
+    """The peers of this instance.
+
+    Args:
+        own_address: "host:port" of this instance's datagrams.
+    """
+
+    def __init__(self, own_address: str) -> None:
+        self._own_address = own_address
+        self._peers: dict[str, Peer] = {}
+        self._addresses: set[str] = set()
+
+    def learn(self, addresses: tuple[str, ...]) -> None:
+        """Take addresses at which there may be peers."""
+        self._addresses.update(addresses)
+        self._addresses.discard(self._own_address)
+
+    def addresses(self) -> tuple[str, ...]:
+        """Return the addresses that messages go to."""
+        return tuple(self._addresses)
+
+    def hear(self, message: Message, now_s: float) -> bool:
+        """Take a message; False if a newer one came before."""
+        known = self._peers.get(message.name)
+        if known is not None:
+            before = known.message
+            if (
+                before.incarnation == message.incarnation
+                and before.sequence >= message.sequence
+            ):
+                return False
+        self._peers[message.name] = Peer(message, now_s)
+        self.learn((message.address, *message.peers))
+        return True
+
+    def heard(self, now_s: float) -> list[Peer]:
+        """Return the peers that were heard lately."""
+        return [
+            peer
+            for peer in self._peers.values()
+            if now_s - peer.heard_s <= HEARD_S
+        ]
+
+    def heard_share(self, now_s: float) -> float:
+        """Return the part of the instances that are heard, this included."""
+        heard = len(self.heard(now_s))
+        return (1 + heard) / (1 + len(self._known(now_s)))
+
+    def instances(self, now_s: float) -> int:
+        """Return the number of instances, this one included."""
+        return 1 + len(self._known(now_s))
+
+    def loads(self, now_s: float) -> list[PeerLoad]:
+        """Return the loads of the peers that are heard."""
+        return [
+            PeerLoad(p.message.outstanding, p.message.waiting, p.heard_s)
+            for p in self.heard(now_s)
+        ]
+
+    def forget_all(self) -> None:
+        """Take all that was heard as old, after this process stood still."""
+        for peer in self._peers.values():
+            peer.heard_s = float('-inf')
+
+    def drop_old(self, now_s: float) -> None:
+        """Forget the peers that were silent for long."""
+        for name, peer in tuple(self._peers.items()):
+            if now_s - peer.heard_s > KNOWN_S:
+                del self._peers[name]
+                self._addresses.discard(peer.message.address)
+
+    def _known(self, now_s: float) -> list[Peer]:
+        return [
+            peer
+            for peer in self._peers.values()
+            if now_s - peer.heard_s <= KNOWN_S
+        ]
+
+
+class PeerLink(asyncio.DatagramProtocol):
+    """Sends this instance's state and takes that of others.
+
+    Args:
+        make: returns this instance's state.
+        addresses: returns where it goes.
+        take: takes a message of a peer.
+        record: records events.
+    """
+
+    def __init__(
+        self,
+        make: Callable[[], Message],
+        addresses: Callable[[], tuple[str, ...]],
+        take: Callable[[Message], None],
+        record: Record,
+    ) -> None:
+        self._make = make
+        self._addresses = addresses
+        self._take = take
+        self._record = record
+        self._transport: asyncio.DatagramTransport | None = None
+        self._changed = asyncio.Event()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to send."""
+        assert isinstance(transport, asyncio.DatagramTransport)
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        """Take a datagram."""
+        try:
+            message = decode(data)
+        except ValueError as error:
+            self._record(
+                Event.MESSAGE_UNREADABLE, peer=str(addr), detail=str(error)
+            )
+            return
+        self._take(message)
+
+    def error_received(self, exc: Exception) -> None:
+        """Note nothing: a peer that is down answers so, and is not heard."""
+
+    def changed(self) -> None:
+        """Send soon."""
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Send until cancelled."""
+        while True:
+            try:
+                async with asyncio.timeout(SEND_MOST_S):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+            self._changed.clear()
+            self.send()
+            await asyncio.sleep(SEND_LEAST_S)
+
+    def send(self) -> None:
+        """Send this instance's state to all peers."""
+        if self._transport is None:
+            return
+        data = encode(self._make())
+        for address in self._addresses():
+            host, _, port = address.rpartition(':')
+            self._transport.sendto(data, (host, int(port)))
--- /dev/null
+++ b/wigeonfall/forwarding/placing.py
@@ -0,0 +1,157 @@
+"""Waits of requests for targets, on the event loop."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+import time
+
+import attrs
+
+from ..model.target import Target
+from ..policy.room import PeerLoad
+from ..policy.room import Rooms
+from ..policy.waiting import Queue
+from ..policy.waiting import Wish
+
+TICK_S = 0.02  # shorter than what a caller notices
+
+
+@attrs.define
+class Place:
+    """Leave to send one request to one target.
+
+    Attributes:
+        target: the target.
+        waited_s: time that the request waited.
+    """
+
+    target: Target
+    waited_s: float
+
+
+class Placing:
+    """The waits of one instance for the targets of all services.
+
+    Args:
+        rooms: room at the targets.
+        names_of: returns the targets of a service that may get work.
+        peers: returns what peers have outstanding and waiting.
+        changed: called when the load of this instance changed.
+    """
+
+    def __init__(
+        self,
+        rooms: Rooms,
+        names_of: Callable[[str], tuple[str, ...]],
+        peers: Callable[[], Iterable[PeerLoad]],
+        changed: Callable[[], None],
+    ) -> None:
+        self.rooms = rooms
+        self._names_of = names_of
+        self._peers = peers
+        self._changed = changed
+        self._queues: dict[str, Queue] = {}
+        self._futures: dict[str, asyncio.Future[Place | None]] = {}
+
+    def waiting(self) -> dict[str, dict[int, int]]:
+        """Return the number of waiting requests by service and rank."""
+        return {
+            service: queue.waiting()
+            for service, queue in self._queues.items()
+            if len(queue)
+        }
+
+    def pressure(self, service: str) -> float:
+        """Return the waiting requests for each place of a service."""
+        names = self._names_of(service)
+        places = sum(room.limit for room in self.rooms.of(names))
+        own = self._queues.get(service)
+        count = len(own) if own is not None else 0
+        for load in self._peers():
+            count += sum(load.waiting.get(service, {}).values())
+        return count / max(1.0, places)
+
+    async def acquire(self, service: str, wish: Wish) -> Place | None:
+        """Wait for a target; None if none had room in time.
+
+        A place that was given must be returned by release.
+        """
+        queue = self._queues.setdefault(service, Queue(self.rooms))
+        loop = asyncio.get_running_loop()
+        future: asyncio.Future[Place | None] = loop.create_future()
+        self._futures[wish.id] = future
+        queue.add(wish)
+        self.pump(service)
+        if not future.done():
+            self._changed()
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self._give_up(service, wish, future)
+            raise
+        finally:
+            self._futures.pop(wish.id, None)
+
+    def release(self, service: str, place: Place) -> None:
+        """Return a place."""
+        self.rooms.ended(place.target.name)
+        queue = self._queues.get(service)
+        if queue is not None and len(queue):
+            queue.freed()
+            self.pump(service)
+        self._changed()
+
+    def pump(self, service: str) -> None:
+        """Place and refuse what waits for a service, as of now."""
+        queue = self._queues.get(service)
+        if queue is None or not len(queue):
+            return
+        now_s = time.monotonic()
+        placed = False
+        peers_waiting = self._peers_waiting(service)
+        names = self._names_of(service)
+        for wish, room in queue.place(names, peers_waiting, now_s):
+            placed = True
+            place = Place(room.target, now_s - wish.arrived_s)
+            future = self._futures.get(wish.id)
+            if future is None or future.done():
+                self.rooms.ended(room.target.name)
+            else:
+                future.set_result(place)
+        for wish in queue.expired(now_s):
+            future = self._futures.get(wish.id)
+            if future is not None and not future.done():
+                future.set_result(None)
+        if placed:
+            self._changed()
+
+    def pump_all(self) -> None:
+        """Place and refuse what waits for any service, as of now."""
+        for service in tuple(self._queues):
+            self.pump(service)
+
+    async def tick(self) -> None:
+        """Pump again and again, until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.pump_all()
+
+    def _give_up(
+        self,
+        service: str,
+        wish: Wish,
+        future: asyncio.Future[Place | None],
+    ) -> None:
+        self._queues[service].remove(wish.id)
+        if future.done() and not future.cancelled():
+            place = future.result()
+            if place is not None:
+                self.release(service, place)
+        self._changed()
+
+    def _peers_waiting(self, service: str) -> dict[int, int]:
+        counts: dict[int, int] = {}
+        for load in self._peers():
+            for rank, number in load.waiting.get(service, {}).items():
+                counts[rank] = counts.get(rank, 0) + number
+        return counts
--- /dev/null
+++ b/wigeonfall/forwarding/process.py
@@ -0,0 +1,288 @@
+"""The life of an instance that passes calls on: it starts, serves, stops."""
+
+import asyncio
+from collections.abc import Callable
+import pathlib
+import signal
+import sys
+import threading
+import time
+from typing import Any
+
+import attrs
+import prometheus_client
+from result import Err
+
+from .. import clock
+from .. import recorder as recorder_module
+from . import callers
+from ..events import Event
+from ..ini import Faults
+from . import internal
+from ..metrics import counting
+from ..metrics import Metrics
+from ..model.routing import RoutingTable
+from ..model.target import Target
+from ..ports.objects import ObjectStore
+from ..ports.platform import StoredObject
+from . import settings as settings_module
+from .callers import CallersPort
+from .dialect import Dialect
+from .instance import Instance
+from .settings import ForwardingSettings
+
+READY_POLL_S = 0.05
+SETTINGS_POLL_S = 1.0
+STOP_POLL_S = 0.1
+STOP_RESERVE_S = 0.4  # before the process is killed
+QUIET_S = 0.5  # without a request before a stop ends
+SWEEP_S = 0.5
+PAUSE_S = 0.5  # a difference between the clocks that is no drift
+
+
+@attrs.frozen
+class Outside:
+    """What an instance needs to know of its platform.
+
+    Attributes:
+        make_store: returns the calls to the store at an address.
+        names: names of headers.
+        table_kind: kind of the object that holds the routing table.
+        table_name: name of that object.
+        decode_table: reads its value; raises ValueError.
+        targets_kind: kind of the entries of targets.
+        decode_target: reads one; raises ValueError.
+        instances_kind: kind of the entries of instances.
+        ready_path: path at which the balancer asks.
+    """
+
+    make_store: Callable[[str], ObjectStore]
+    names: Dialect
+    table_kind: str
+    table_name: str
+    decode_table: Callable[[Any], RoutingTable]
+    targets_kind: str
+    decode_target: Callable[[StoredObject], Target]
+    instances_kind: str
+    ready_path: bytes
+
+
+def run(path: pathlib.Path, outside: Outside) -> int:
+    """Run an instance until it is told to stop.
+
+    Args:
+        path: its settings file.
+        outside: what it needs to know of its platform.
+
+    Returns:
+        The exit status of the process.
+    """
+    read = settings_module.read(path)
+    if isinstance(read, Err):
+        _print_faults(read.err_value)
+        return 1
+    settings = read.ok_value
+    recorder_module.log_to_stdout(settings.log.level)
+    recorder = recorder_module.Recorder(
+        settings.instance.name, clock.HybridClock()
+    )
+    registry = prometheus_client.CollectorRegistry()
+    record = counting(recorder.record, Metrics(registry))
+    instance = Instance(settings, outside, record)
+    asyncio.run(_Life(path, settings, instance, registry).run())
+    return 0
+
+
+def _print_faults(faults: Faults) -> None:
+    for fault in faults:
+        print(fault, file=sys.stderr)
+
+
+class _Life:
+    """One start of an instance."""
+
+    def __init__(
+        self,
+        path: pathlib.Path,
+        settings: ForwardingSettings,
+        instance: Instance,
+        registry: prometheus_client.CollectorRegistry,
+    ) -> None:
+        self._path = path
+        self._settings = settings
+        self._instance = instance
+        self._record = instance.record
+        self._registry = registry
+        self._stopping = asyncio.Event()
+        self._reload = asyncio.Event()
+        self._threads_stop = threading.Event()
+
+    async def run(self) -> None:
+        """Serve until told to stop, then stop gracefully."""
+        name = self._settings.instance.name
+        self._record(Event.PROCESS_STARTED, name=name)
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload.set)
+        port = self._port()
+        servers = await self._listen(port)
+        self._instance.start(loop, self._threads_stop)
+        tasks = [
+            asyncio.create_task(work)
+            for work in (
+                *self._instance.loops(),
+                self._announce_ready(),
+                self._watch_settings(),
+                self._sweep(),
+            )
+        ]
+        await self._stopping.wait()
+        await self._drain(port, servers)
+        self._threads_stop.set()
+        for task in tasks:
+            task.cancel()
+        self._record(Event.STOP_FINISHED)
+
+    def _port(self) -> CallersPort:
+        return CallersPort(
+            handle=self._instance.handle,
+            limits=self._instance.limits,
+            closing=self._stopping.is_set,
+        )
+
+    async def _listen(self, port: CallersPort) -> list[asyncio.Server]:
+        listen = self._settings.listen
+        served = [(listen.callers_address, port)]
+        served.append(
+            (listen.ready_address, self._internal(self._ready_pages()))
+        )
+        pages = self._internal(
+            {
+                b'/metrics': lambda: (
+                    200,
+                    prometheus_client.generate_latest(self._registry),
+                ),
+                internal.SNAPSHOT_PATH: self._instance.snapshot,
+            }
+        )
+        served.append((listen.peers_address, pages))
+        if listen.metrics_address != listen.peers_address:
+            served.append((listen.metrics_address, pages))
+        servers = []
+        for address, served_port in served:
+            try:
+                servers.append(
+                    await callers.serve(
+                        address, served_port, listen.callers_backlog
+                    )
+                )
+            except OSError as error:
+                self._record(
+                    Event.LISTEN_FAILED, address=address, detail=str(error)
+                )
+                if address == listen.callers_address:
+                    raise
+        return servers
+
+    def _ready_pages(self) -> dict[bytes, internal.Page]:
+        return {
+            self._instance.outside.ready_path: lambda: (
+                200 if self._ready() else 503,
+                b'',
+            )
+        }
+
+    def _internal(self, pages: dict[bytes, internal.Page]) -> CallersPort:
+        return CallersPort(
+            handle=internal.make_handle(pages),
+            limits=self._instance.limits,
+            closing=lambda: False,
+        )
+
+    def _ready(self) -> bool:
+        return self._instance.ready() and not self._stopping.is_set()
+
+    async def _announce_ready(self) -> None:
+        while not self._instance.ready():
+            await asyncio.sleep(READY_POLL_S)
+        listen = self._settings.listen
+        self._record(
+            Event.PROCESS_READY,
+            callers_address=listen.callers_address,
+            operators_address=listen.metrics_address,
+        )
+
+    async def _watch_settings(self) -> None:
+        """Read the settings again when the file has changed."""
+        text = _read_text(self._path)
+        while True:
+            try:
+                async with asyncio.timeout(SETTINGS_POLL_S):
+                    await self._reload.wait()
+            except TimeoutError:
+                pass
+            asked = self._reload.is_set()
+            self._reload.clear()
+            present = _read_text(self._path)
+            if present == text and not asked:
+                continue
+            text = present
+            read = settings_module.read(self._path)
+            if isinstance(read, Err):
+                self._record(
+                    Event.SETTINGS_REFUSED,
+                    faults=[str(fault) for fault in read.err_value],
+                )
+                continue
+            self._instance.set_settings(read.ok_value)
+            self._record(Event.SETTINGS_RELOADED, asked=asked)
+
+    async def _sweep(self) -> None:
+        """Drop what is old, and notice when the process stood still."""
+        offset_s = _sleep_offset_s()
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            present_s = _sleep_offset_s()
+            if present_s - offset_s > PAUSE_S:
+                self._record(
+                    Event.CLOCK_PAUSED, pause_s=round(present_s - offset_s, 1)
+                )
+                self._instance.stood_still()
+            offset_s = present_s
+            self._instance.sweep(time.monotonic())
+
+    async def _drain(
+        self, port: CallersPort, servers: list[asyncio.Server]
+    ) -> None:
+        self._record(Event.STOP_BEGUN)
+        stop = self._settings.stop
+        now_s = time.monotonic()
+        settled_s = now_s + stop.settle_s
+        end_s = now_s + max(0.0, stop.grace_s - STOP_RESERVE_S)
+        busy_s = now_s
+        while now_s < end_s:
+            if any(connection.busy for connection in port.connections):
+                busy_s = now_s
+            if now_s >= max(settled_s, busy_s + QUIET_S):
+                break
+            await asyncio.sleep(STOP_POLL_S)
+            now_s = time.monotonic()
+        for server in servers:
+            server.close()
+        for connection in tuple(port.connections):
+            connection.close_idle()
+
+
+def _read_text(path: pathlib.Path) -> bytes:
+    try:
+        return path.read_bytes()
+    except OSError:
+        # The reader of the settings reports why the file cannot be read.
+        return b''
+
+
+def _sleep_offset_s() -> float:
+    """Return the time that the machine stood still since it was started."""
+    boot_s = time.clock_gettime(time.CLOCK_BOOTTIME)
+    return boot_s - time.monotonic()
--- /dev/null
+++ b/wigeonfall/forwarding/store_view.py
@@ -0,0 +1,114 @@
+"""What this instance knows of the store, from watches and from peers."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+
+from ..ports.objects import Changes
+from ..ports.objects import Listing
+from ..ports.platform import StoredObject
+
+
+@attrs.define
+class KindView:
+    """The objects of one kind as last heard.
+
+    Attributes:
+        objects: the objects by name.
+        revision: the newest change that is in them; 0 before the first.
+    """
+
+    objects: dict[str, StoredObject] = attrs.field(factory=dict)
+    revision: int = 0
+
+
+class StoreView:
+    """The objects of some kinds; used by one thread alone.
+
+    Args:
+        kinds: names of the kinds.
+        changed: called with a kind after each change of it.
+    """
+
+    def __init__(
+        self, kinds: Iterable[str], changed: Callable[[str], None]
+    ) -> None:
+        self._kinds = {kind: KindView() for kind in kinds}
+        self._changed = changed
+
+    def revisions(self) -> dict[str, int]:
+        """Return the revision of each kind."""
+        return {kind: view.revision for kind, view in self._kinds.items()}
+
+    def objects(self, kind: str) -> tuple[StoredObject, ...]:
+        """Return the objects of a kind."""
+        return tuple(self._kinds[kind].objects.values())
+
+    def known(self, kind: str) -> bool:
+        """Whether anything was heard of a kind."""
+        return self._kinds[kind].revision > 0
+
+    def take_listing(self, kind: str, listing: Listing) -> None:
+        """Take all objects of a kind as the store listed them."""
+        view = self._kinds[kind]
+        objects = {item.name: item for item in listing.objects}
+        newest = max((item.version for item in listing.objects), default=1)
+        view.revision = max(view.revision, newest)
+        same = objects == view.objects
+        view.objects = objects
+        if not same:
+            self._changed(kind)
+
+    def take_changes(self, kind: str, changes: Changes) -> None:
+        """Take changes of a kind in the order of the store."""
+        view = self._kinds[kind]
+        for change in changes.changes:
+            item = change.object
+            if change.removed:
+                view.objects.pop(item.name, None)
+                view.revision = max(view.revision, changes.revision)
+            else:
+                view.objects[item.name] = item
+                view.revision = max(view.revision, item.version)
+        if changes.changes:
+            self._changed(kind)
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return all that is known, as JSON values."""
+        return {
+            kind: {
+                'revision': view.revision,
+                'objects': [
+                    attrs.asdict(item) for item in view.objects.values()
+                ],
+            }
+            for kind, view in self._kinds.items()
+        }
+
+    def take_snapshot(self, value: dict[str, Any]) -> list[str]:
+        """Take the kinds of which a peer knows newer changes.
+
+        Args:
+            value: a snapshot, as JSON values.
+
+        Returns:
+            The kinds that were taken.
+
+        Raises:
+            KeyError: a field is missing.
+            TypeError: a value has another type.
+        """
+        taken = []
+        for kind, view in self._kinds.items():
+            item = value.get(kind)
+            if item is None or item['revision'] <= view.revision:
+                continue
+            objects = [StoredObject(**fields) for fields in item['objects']]
+            view.objects = {o.name: o for o in objects}
+            view.revision = item['revision']
+            taken.append(kind)
+        for kind in taken:
+            self._changed(kind)
+        return taken
--- /dev/null
+++ b/wigeonfall/forwarding/work.py
@@ -0,0 +1,223 @@
+"""A call that was matched to its route and customer."""
+
+import http
+from typing import TypeAlias
+
+import attrs
+from result import Err
+from result import Ok
+from result import Result
+
+from ..model.routing import KeyHolder
+from ..model.routing import Route
+from ..policy import routing
+from .callers import Call
+from .callers import Headers
+from .dialect import Dialect
+
+_CONNECTION_HEADERS = frozenset(
+    {
+        b'connection',
+        b'keep-alive',
+        b'proxy-connection',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'content-length',
+        b'expect',
+    }
+)
+
+
+@attrs.frozen
+class Work:
+    """A request that is to be answered by a target.
+
+    Attributes:
+        id: identifier that the caller gave it.
+        call: what the caller sent.
+        route: its route.
+        customer: its customer, None on an anonymous route.
+        service: service that answers it.
+        rank: urgency; 0 goes first.
+        tokens: tokens that it counts against the customer's limit.
+        prompt_tokens: tokens that the target reads.
+        deadline_s: end of the caller's time or the route's, on the
+            monotonic clock.
+        caller_s: time that the caller will wait from its arrival.
+    """
+
+    id: str
+    call: Call
+    route: Route
+    customer: KeyHolder | None
+    service: str
+    rank: int
+    tokens: float
+    prompt_tokens: int
+    deadline_s: float
+    caller_s: float
+
+
+@attrs.frozen
+class Rejection:
+    """Why a call matches no route or customer.
+
+    Attributes:
+        status: HTTP status.
+        reason: detail for logs.
+    """
+
+    status: int
+    reason: str
+
+
+Matched: TypeAlias = Result[Work, Rejection]
+
+
+def match(index: routing.RoutingIndex, call: Call, names: Dialect) -> Matched:
+    """Match a call to its route and customer.
+
+    Args:
+        index: the routing table in force.
+        call: the call.
+        names: header names.
+    """
+    host = call.header(b'host').decode('latin-1')
+    path = call.path.decode('latin-1')
+    route = routing.find_route(index, host, path)
+    if route is None:
+        return _rejected(http.HTTPStatus.NOT_FOUND, 'no route')
+    key = call.header(names.key.lower()).decode('latin-1')
+    customer = index.by_key.get(key)
+    if customer is None and index.table.customers and not route.anonymous:
+        return _rejected(http.HTTPStatus.UNAUTHORIZED, 'unknown key')
+    ids = [v for n, v in call.headers if n == names.request_id.lower()]
+    if len(ids) != 1 or not ids[0]:
+        return _rejected(http.HTTPStatus.BAD_REQUEST, 'not one request id')
+    request_id = ids[0].decode('latin-1')
+    caller_s = _time_left_s(call, names, route)
+    prompt, answer = _token_counts(call, names)
+    return Ok(
+        Work(
+            id=request_id,
+            call=call,
+            route=route,
+            customer=customer,
+            service=routing.choose_service(route, request_id),
+            rank=_rank(route, customer),
+            tokens=_tokens(customer, prompt, answer),
+            prompt_tokens=prompt,
+            deadline_s=call.arrived_s + min(caller_s, route.timeout_s),
+            caller_s=caller_s,
+        )
+    )
+
+
+def target_request(
+    work: Work,
+    names: Dialect,
+    target: str,
+    resume_after: str,
+    now_s: float,
+) -> bytes:
+    """Return the bytes of the request that a target gets.
+
+    Args:
+        work: the request.
+        names: header names.
+        target: identifier of the target.
+        resume_after: last event that the caller has, or ''.
+        now_s: present time on the monotonic clock.
+    """
+    call = work.call
+    left_ms = max(1, int((work.deadline_s - now_s) * 1000))
+    lines = [b'%s %s HTTP/1.1\r\n' % (call.method, call.path)]
+    named = _named_by_connection(call, names)
+    own = {
+        names.time_left_ms.lower(),
+        names.key.lower(),
+        names.customer.lower(),
+        names.expected_target.lower(),
+    }
+    if resume_after:
+        own.add(names.last_event_id.lower())
+    for name, value in call.headers:
+        if (
+            name in _CONNECTION_HEADERS
+            or name in named
+            or name in own
+            or name in names.reserved
+        ):
+            continue
+        lines.append(b'%s: %s\r\n' % (name, value))
+    lines.append(b'%s: %d\r\n' % (names.time_left_ms, left_ms))
+    lines.append(b'%s: %s\r\n' % (names.expected_target, target.encode()))
+    if work.customer is not None:
+        customer = work.customer.name.encode('latin-1')
+        lines.append(b'%s: %s\r\n' % (names.customer, customer))
+    if resume_after:
+        value = resume_after.encode('latin-1')
+        lines.append(b'%s: %s\r\n' % (names.last_event_id, value))
+    if call.body or call.header(b'content-length') or call.method == b'POST':
+        lines.append(b'Content-Length: %d\r\n' % len(call.body))
+    lines.append(b'\r\n')
+    lines.append(call.body)
+    return b''.join(lines)
+
+
+def caller_headers(headers: Headers) -> Headers:
+    """Return the headers of an answer that concern more than a connection."""
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name not in _CONNECTION_HEADERS
+    )
+
+
+def _rejected(status: int, reason: str) -> Matched:
+    return Err(Rejection(int(status), reason))
+
+
+def _named_by_connection(call: Call, names: Dialect) -> frozenset[bytes]:
+    kept = {names.request_id.lower(), b'host', b'content-type'}
+    named = {
+        part.strip().lower()
+        for name, value in call.headers
+        if name == b'connection'
+        for part in value.split(b',')
+    }
+    return frozenset(named - kept)
+
+
+def _time_left_s(call: Call, names: Dialect, route: Route) -> float:
+    value = call.header(names.time_left_ms.lower())
+    if value.isdigit():
+        return int(value) / 1000
+    return route.timeout_s
+
+
+def _token_counts(call: Call, names: Dialect) -> tuple[int, int]:
+    value = call.header(names.token_counts.lower())
+    first, _, second = value.partition(b',')
+    first, second = first.strip(), second.strip()
+    if first.isdigit() and second.isdigit():
+        return int(first), int(second)
+    return 0, 0
+
+
+def _rank(route: Route, customer: KeyHolder | None) -> int:
+    if customer is not None and customer.rank is not None:
+        return customer.rank
+    return route.rank
+
+
+def _tokens(customer: KeyHolder | None, prompt: int, answer: int) -> float:
+    if customer is None:
+        return 0.0
+    if not customer.counts_tokens:
+        return 1.0
+    return float(prompt + answer) or customer.plain_tokens
--- a/wigeonfall/model/target.py
+++ b/wigeonfall/model/target.py
@@ -24,6 +24,7 @@
         incarnation: number that grows with each start at this name.
         version: version of the model or program that it serves.
         state: last known state.
+        slots: requests that it runs at once, 0 if unknown.
     """
 
     name: str
@@ -33,3 +34,4 @@
     incarnation: int = 0
     version: str = ''
     state: TargetState = TargetState.READY
+    slots: int = 0
--- /dev/null
+++ b/wigeonfall/policy/routing.py
@@ -0,0 +1,79 @@
+"""Chooses the route, the service and the customer of a call."""
+
+from collections.abc import Mapping
+import math
+
+import attrs
+import xxhash
+
+from ..model.routing import KeyHolder
+from ..model.routing import Route
+from ..model.routing import RoutingTable
+
+
+@attrs.frozen
+class RoutingIndex:
+    """A routing table prepared for look-ups.
+
+    Attributes:
+        table: the table.
+        by_host: routes of each host, longest prefix first.
+        by_key: customer of each key.
+    """
+
+    table: RoutingTable
+    by_host: Mapping[str, tuple[Route, ...]]
+    by_key: Mapping[str, KeyHolder]
+
+
+def make_index(table: RoutingTable) -> RoutingIndex:
+    """Return an index of a table."""
+    by_host: dict[str, list[Route]] = {}
+    for route in table.routes:
+        by_host.setdefault(route.host, []).append(route)
+    for routes in by_host.values():
+        routes.sort(key=lambda r: len(r.path_prefix), reverse=True)
+    return RoutingIndex(
+        table,
+        {host: tuple(routes) for host, routes in by_host.items()},
+        {key: c for c in table.customers for key in c.keys},
+    )
+
+
+def find_route(index: RoutingIndex, host: str, target: str) -> Route | None:
+    """Return the route with the longest prefix that begins a path.
+
+    Args:
+        index: the routing table in force.
+        host: the Host header of the call.
+        target: path with its query.
+
+    Returns:
+        The route, or None if none matches.
+    """
+    name = host.rsplit(':', 1)[0].lower()
+    path = target.partition('?')[0]
+    routes = index.by_host.get(name, ())
+    return next((r for r in routes if path.startswith(r.path_prefix)), None)
+
+
+def choose_service(route: Route, request_id: str) -> str:
+    """Return the service for a request, by the weights of its route.
+
+    The identifier decides, so that all instances choose alike. Each service
+    gets a score of its own, which a change of other weights leaves alone.
+    """
+    if len(route.services) == 1:
+        return route.services[0].service
+    best = ''
+    best_score = -math.inf
+    for item in route.services:
+        if item.weight <= 0:
+            continue
+        digest = xxhash.xxh64_intdigest(
+            f'{item.service}/{request_id}'.encode()
+        )
+        score = item.weight / -math.log((digest + 1) / (2**64 + 1))
+        if score > best_score:
+            best, best_score = item.service, score
+    return best
--- /dev/null
+++ b/wigeonfall/policy/waiting.py
@@ -0,0 +1,213 @@
+"""How requests of one service wait, are placed and are refused.
+
+Load patterns: a burst asks for more than all targets run at once; callers
+leave a stream that shows nothing for a few seconds, and come back once after a
+refusal. So requests wait in order of urgency, those that can still meet their
+goal before those that cannot, and one that came back before one that is new.
+Who waited as long as its caller's patience allows is refused in time, with a
+delay after which there should be room. When peers wait for the same targets,
+each instance takes its part of what is free.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Mapping
+import random
+
+import attrs
+
+from .room import Rooms
+from .room import TargetRoom
+
+PATIENCE_LEAST_S = 2.0  # published patience of callers of streams
+PATIENCE_GOALS = 4.0  # in times to the first event
+PATIENCE_PAUSES = 8.0  # in pauses between events
+ANSWER_MARGIN_S = 0.25  # for the way to the target and back
+WAIT_SHARE = 0.6  # of patience; the target needs the rest
+PLAIN_WAIT_SHARE = 0.6  # of the time left, for plain services
+RETRY_SHARE = 1 / 3  # callers honour a delay up to this share of their time
+RETRY_LEAST_S = 0.3
+LOTTERY_S = 0.05  # period in which peers hear of each other
+
+
+@attrs.frozen
+class Wish:
+    """A request that wants a target.
+
+    Attributes:
+        id: identifier of the request.
+        rank: urgency; 0 goes first.
+        returned: whether its caller was refused before.
+        arrived_s: arrival, on the monotonic clock.
+        goal_s: time by which it should be sent to meet its goal.
+        give_up_s: time at which waiting has no more sense.
+        suits: whether a target may get it.
+    """
+
+    id: str
+    rank: int
+    returned: bool
+    arrived_s: float
+    goal_s: float
+    give_up_s: float
+    suits: Callable[[str], bool] = lambda _name: True
+
+
+def wait_limit_s(
+    streaming: bool,
+    goal_s: float,
+    pause_s: float,
+    left_s: float,
+) -> float:
+    """Return how long a request may wait for a target.
+
+    Args:
+        streaming: whether its caller waits for a first event.
+        goal_s: time to the whole answer or the first event.
+        pause_s: longest pause between events.
+        left_s: time until the deadline of the request.
+    """
+    if not streaming:
+        return max(0.0, PLAIN_WAIT_SHARE * left_s - ANSWER_MARGIN_S)
+    patience_s = max(
+        PATIENCE_LEAST_S, PATIENCE_GOALS * goal_s, PATIENCE_PAUSES * pause_s
+    )
+    return max(0.0, min(WAIT_SHARE * patience_s, left_s - ANSWER_MARGIN_S))
+
+
+def retry_after_s(
+    left_s: float, pressure: float, spread: float
+) -> float | None:
+    """Return the delay after which a refused caller should come back.
+
+    Args:
+        left_s: time until the caller's deadline.
+        pressure: waiting requests for each place of the service.
+        spread: number from 0 to 1 that differs between callers.
+
+    Returns:
+        The delay, or None if the caller has too little time.
+    """
+    most_s = RETRY_SHARE * left_s
+    if most_s < RETRY_LEAST_S:
+        return None
+    share = min(1.0, 0.4 + pressure)
+    return max(RETRY_LEAST_S, most_s * share * (0.6 + 0.4 * spread))
+
+
+class Queue:
+    """The waiting requests of one service at one instance.
+
+    Args:
+        rooms: room at the targets.
+        draw: returns random numbers from 0 to 1.
+    """
+
+    def __init__(
+        self, rooms: Rooms, draw: Callable[[], float] = random.random
+    ) -> None:
+        self._rooms = rooms
+        self._draw = draw
+        self._wishes: dict[str, Wish] = {}
+        self._own_places = 0
+        self._lottery_s = 0.0
+        self._won = 0
+
+    def __len__(self) -> int:
+        return len(self._wishes)
+
+    def waiting(self) -> dict[int, int]:
+        """Return the number of waiting requests by rank."""
+        counts: dict[int, int] = {}
+        for wish in self._wishes.values():
+            counts[wish.rank] = counts.get(wish.rank, 0) + 1
+        return counts
+
+    def add(self, wish: Wish) -> None:
+        """Let a request wait."""
+        self._wishes[wish.id] = wish
+
+    def remove(self, wish_id: str) -> None:
+        """Forget a request; unknown ones are fine."""
+        self._wishes.pop(wish_id, None)
+
+    def freed(self) -> None:
+        """Note that a place of this instance became free."""
+        self._own_places += 1
+
+    def expired(self, now_s: float) -> list[Wish]:
+        """Take out the requests that waited as long as they may."""
+        late = [w for w in self._wishes.values() if w.give_up_s <= now_s]
+        for wish in late:
+            del self._wishes[wish.id]
+        return late
+
+    def place(
+        self,
+        names: Iterable[str],
+        peers_waiting: Mapping[int, int],
+        now_s: float,
+    ) -> Iterator[tuple[Wish, TargetRoom]]:
+        """Yield the requests that get a target now; they wait no more.
+
+        The room counts them at once.
+
+        Args:
+            names: targets that may get new work.
+            peers_waiting: waiting requests of all peers by rank.
+            now_s: present time on the monotonic clock.
+        """
+        rooms = self._rooms.of(names)
+        self._hold_lottery(rooms, peers_waiting, now_s)
+        for wish in sorted(
+            self._wishes.values(), key=lambda w: _order(w, now_s)
+        ):
+            if not self._may_take(wish, peers_waiting):
+                return
+            suitable = [r for r in rooms if wish.suits(r.target.name)]
+            chosen = self._rooms.choose(suitable, now_s)
+            if chosen is None:
+                continue
+            del self._wishes[wish.id]
+            self._count_place(peers_waiting)
+            self._rooms.sent(chosen.target.name)
+            yield wish, chosen
+        self._own_places = 0
+
+    def _may_take(self, wish: Wish, peers_waiting: Mapping[int, int]) -> bool:
+        rivals = sum(n for r, n in peers_waiting.items() if r <= wish.rank)
+        if not rivals:
+            return True
+        more_urgent = any(n for r, n in peers_waiting.items() if r < wish.rank)
+        return self._won > 0 or (self._own_places > 0 and not more_urgent)
+
+    def _count_place(self, peers_waiting: Mapping[int, int]) -> None:
+        if not any(peers_waiting.values()):
+            return
+        if self._own_places:
+            self._own_places -= 1
+        elif self._won:
+            self._won -= 1
+
+    def _hold_lottery(
+        self,
+        rooms: list[TargetRoom],
+        peers_waiting: Mapping[int, int],
+        now_s: float,
+    ) -> None:
+        if now_s - self._lottery_s < LOTTERY_S or not self._wishes:
+            return
+        self._lottery_s = now_s
+        rank = min(w.rank for w in self._wishes.values())
+        mine = sum(w.rank == rank for w in self._wishes.values())
+        above = sum(n for r, n in peers_waiting.items() if r < rank)
+        same = peers_waiting.get(rank, 0)
+        free = sum(max(0, int(r.free)) for r in rooms) - above
+        part = max(0.0, free * mine / max(1, mine + same))
+        self._won = int(part) + (self._draw() < part - int(part))
+
+
+def _order(wish: Wish, now_s: float) -> tuple[int, bool, float]:
+    late = now_s > wish.goal_s and not wish.returned
+    return wish.rank, late, wish.arrived_s
--- a/wigeonfall/ports/platform.py
+++ b/wigeonfall/ports/platform.py
@@ -19,6 +19,7 @@
     RATE_LIMITED = 'rate-limited'
     UNAVAILABLE = 'unavailable'
     INVALID = 'invalid'
+    GONE = 'gone'
 
 
 @attrs.frozen
@@ -45,12 +46,14 @@
         name: name within the kind.
         version: version that the platform gave the object.
         value: content, as JSON values.
+        status: what was last written of its state, as JSON values.
     """
 
     kind: str
     name: str
     version: int
     value: dict[str, Any]
+    status: dict[str, Any] | None = None
 
 
 @attrs.frozen
--- a/wigeonfall/settings.py
+++ b/wigeonfall/settings.py
@@ -4,7 +4,7 @@
 import os
 import pathlib
 import re
-from typing import Any
+from typing import Any, TypeVar
 
 import attrs
 from result import Err
@@ -19,6 +19,8 @@
 _LEVELS = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
 _SECRET_PREFIX = 'WIGEONFALL_'
 
+_Settings = TypeVar('_Settings', bound=attrs.AttrsInstance)
+
 _MOST_WAIT_S = 86_400
 _MOST_BODY_BYTES = 1 << 30
 
@@ -130,35 +132,38 @@
     secrets: SecretsSettings
 
 
-def _check_address(value: str) -> str:
+def check_address(value: str) -> str:
+    """Return what is wrong with an address, or ''."""
     if _ADDRESS.match(value):
         return ''
     return 'must be an IP number and a port, such as 10.0.0.1:8080'
 
 
-def _check_addresses(values: tuple[str, ...]) -> str:
-    return next((m for m in map(_check_address, values) if m), '')
+def check_addresses(values: tuple[str, ...]) -> str:
+    """Return what is wrong with the first bad address, or ''."""
+    return next((m for m in map(check_address, values) if m), '')
 
 
-def _check_level(value: str) -> str:
+def check_level(value: str) -> str:
+    """Return what is wrong with a log level, or ''."""
     return '' if value in _LEVELS else 'must be one of ' + ', '.join(_LEVELS)
 
 
 _PROCESS_CHECKS: Mapping[str, ini.Check] = {
     'name': configuration_file.check_name,
     'data_center': configuration_file.check_name,
-    'callers_address': _check_address,
-    'operators_address': _check_address,
-    'peers_address': _check_address,
-    'address': _check_address,
-    'addresses': _check_addresses,
+    'callers_address': check_address,
+    'operators_address': check_address,
+    'peers_address': check_address,
+    'address': check_address,
+    'addresses': check_addresses,
     'body_limit_bytes': ini.in_range(1, _MOST_BODY_BYTES),
     'header_limit_bytes': ini.in_range(1024, 1 << 20),
     'callers_threads': ini.in_range(1, 10_000),
     'connections': ini.in_range(1, 100_000),
     'settle_s': ini.in_range(0, _MOST_WAIT_S),
     'quiet_s': ini.in_range(0, _MOST_WAIT_S),
-    'level': _check_level,
+    'level': check_level,
 }
 
 
@@ -170,6 +175,23 @@
     Args:
         path: INI file; files that it names are relative to its directory.
 
+    Returns:
+        The settings, or all faults of the file.
+    """
+    read = read_sections(path, ProcessSettings, _PROCESS_CHECKS)
+    return read.map(lambda settings: _resolve_all(settings, path.parent))
+
+
+def read_sections(
+    path: pathlib.Path, cls: type[_Settings], checks: Mapping[str, ini.Check]
+) -> Result[_Settings, ini.Faults]:
+    """Read a file with one section for each field of a class.
+
+    Args:
+        path: INI file.
+        cls: attrs class whose fields are attrs classes.
+        checks: checks of options by their names.
+
     Returns:
         The settings, or all faults of the file.
     """
@@ -177,7 +199,7 @@
     if isinstance(loaded, Err):
         return loaded
     document = loaded.ok_value
-    fields = attrs.fields_dict(ProcessSettings)
+    fields = attrs.fields_dict(cls)
     faults = [
         section.fault('unknown section')
         for name, section in document.items()
@@ -186,15 +208,15 @@
     values = {}
     for name, field in fields.items():
         section = document.get(name, ini.Section(name, str(path), 0, {}))
-        cls: type[Any] = field.type  # type: ignore[assignment]
-        outcome = ini.read_section(section, cls, _PROCESS_CHECKS)
+        section_cls: type[Any] = field.type  # type: ignore[assignment]
+        outcome = ini.read_section(section, section_cls, checks)
         if isinstance(outcome, Ok):
-            values[name] = _resolve_files(outcome.ok_value, path.parent)
+            values[name] = outcome.ok_value
         else:
             faults.extend(outcome.err_value)
     if faults:
         return Err(tuple(faults))
-    return Ok(ProcessSettings(**values))
+    return Ok(cls(**values))
 
 
 def read_secret(name: str, file: str) -> str:
@@ -244,6 +266,18 @@
     return configuration_file.parse(base.ok_value, overlay, data_center, 0)
 
 
+def _resolve_all(
+    settings: ProcessSettings, directory: pathlib.Path
+) -> ProcessSettings:
+    names = attrs.fields_dict(ProcessSettings)
+    return ProcessSettings(
+        **{
+            name: _resolve_files(getattr(settings, name), directory)
+            for name in names
+        }
+    )
+
+
 def _resolve_files(value: Any, directory: pathlib.Path) -> Any:
     names = [
         field.name
