Send late callers of a stopping instance elsewhere, and judge new versions

Ruled out: new connections, which the balancer stops. Change: after the settling time idle connections are closed and what still comes gets a refusal that says that it did not run, with a short Retry-After. Moves to new versions are judged on evidence from all instances.

--- a/wigeonfall/events.py
+++ b/wigeonfall/events.py
@@ -72,6 +72,7 @@
     TARGET_ORDERED = (607, logging.INFO, 'target took an order')
     TARGET_ORDER_FAILED = (608, logging.WARNING, 'order to target failed')
     ROLLOUT_UNREADABLE = (609, logging.ERROR, 'stored rollout unreadable')
+    VERSION_JUDGED = (611, logging.INFO, 'move to a version judged')
     VERSION_SUSPECTED = (610, logging.WARNING, 'version suspected here')
 
     PLATFORM_UNREACHABLE = (701, logging.WARNING, 'platform unreachable')
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -11,6 +11,7 @@
 import time
 from typing import Any, TYPE_CHECKING
 
+import attrs
 from result import Err
 
 from ..events import Event
@@ -24,6 +25,8 @@
 from ..policy import routing
 from ..policy.target_view import TargetView
 from ..policy import token_quota
+from ..policy.version_trial import Order
+from ..policy.version_trial import Trials
 from ..ports.platform import PlatformErrorKind
 from ..ports.platform import StoredObject
 from ..recorder import Record
@@ -45,6 +48,7 @@
 START_FETCH_S = 0.3  # before peers are asked for what the store should tell
 PEERS_PERIOD_S = 15.0
 REGISTER_RETRY_S = 1.0
+TRIALS_PERIOD_S = 0.5  # a verdict is written soon after the evidence
 
 
 class Instance:
@@ -77,13 +81,19 @@
             lambda: self._peers.loads(time.monotonic()),
             self._load_changed,
         )
-        kinds = (outside.table_kind, outside.targets_kind)
+        self._trials = Trials()
+        kinds = (
+            outside.table_kind,
+            outside.targets_kind,
+            outside.orders_kind,
+        )
         self._view = StoreView(kinds, self._view_changed)
         self._link = peers_module.PeerLink(
             self._message, self._peers.addresses, self._hear, record
         )
         self._incarnation = random.getrandbits(53)
         self._sequence = 0
+        self._leaving = False
         self._behind_since: dict[str, float] = {}
         self._store_reachable = {kind: True for kind in kinds}
         self._path = path_module.Path(self._path_parts())
@@ -94,6 +104,7 @@
             self._placing.tick(),
             self._serve_peers(),
             self._catch_up(),
+            self._decide_trials(),
         )
 
     def start(
@@ -151,6 +162,10 @@
         self._settings = settings
         self._peers.learn(_seed_addresses(settings))
 
+    def turn_away(self) -> None:
+        """Send callers to other instances from now on."""
+        self._leaving = True
+
     def stood_still(self) -> None:
         """Take all that was heard as old."""
         self._peers.forget_all()
@@ -171,6 +186,7 @@
         )
         return path_module.PathParts(
             index=lambda: self._index,
+            leaving=lambda: self._leaving,
             names=self.outside.names,
             placing=self._placing,
             attempts=Attempts(
@@ -178,16 +194,80 @@
                 rooms=self._rooms,
                 names=self.outside.names,
                 left=self._target_left,
-                judged=lambda _work, _target, _ok, _cost: None,
+                judged=self._judged,
             ),
             take_tokens=self._take_tokens,
             give_tokens_back=self._give_tokens_back,
-            suits=lambda _work, _name: True,
+            suits=self._suits,
             resend=resend,
             requested=requested,
             record=self.record,
         )
 
+    def _suits(self, work: Work, name: str) -> bool:
+        rooms = self._rooms.of((name,))
+        version = rooms[0].target.version if rooms else ''
+        return self._trials.suits(work.service, version, work.id)
+
+    def _judged(
+        self, work: Work, target: Target, ok: bool, cost: float
+    ) -> None:
+        slowest_old = max(
+            (
+                room.cost
+                for room in self._rooms.all()
+                if room.target.service == work.service
+                and room.target.version != target.version
+            ),
+            default=0.0,
+        )
+        self._trials.judged(
+            work.service, target.version, ok, cost, slowest_old
+        )
+
+    async def _decide_trials(self) -> None:
+        """Judge the moves to new versions, and write how they end."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(TRIALS_PERIOD_S)
+            now_s = time.monotonic()
+            for order in self._trials.running():
+                verdict = self._trials.decide(
+                    order.service, self._old_busy(order), now_s
+                )
+                if verdict is None:
+                    continue
+                entry = self._order_entry(order)
+                if entry is None:
+                    continue
+                status = self.outside.encode_order(order, verdict)
+                entry = attrs.evolve(entry, status=status)
+                written = await loop.run_in_executor(
+                    None, self._store.report, entry
+                )
+                self.record(
+                    Event.VERSION_JUDGED,
+                    service=order.service,
+                    version=order.version,
+                    verdict=verdict.value,
+                    written=written.is_ok(),
+                    at_version=entry.version,
+                )
+
+    def _old_busy(self, order: Order) -> bool:
+        return any(
+            room.own + room.peers
+            for room in self._rooms.all()
+            if room.target.service == order.service
+            and room.target.version != order.version
+        )
+
+    def _order_entry(self, order: Order) -> StoredObject | None:
+        for item in self._view.objects(self.outside.orders_kind):
+            if item.name == order.name:
+                return item
+        return None
+
     def _take_tokens(self, work: Work, now_s: float) -> float | None:
         if work.customer is None:
             return None
@@ -205,8 +285,10 @@
     def _view_changed(self, kind: str) -> None:
         if kind == self.outside.table_kind:
             self._take_table()
-        else:
+        elif kind == self.outside.targets_kind:
             self._take_targets()
+        else:
+            self._take_orders()
 
     def _take_table(self) -> None:
         for item in self._view.objects(self.outside.table_kind):
@@ -237,6 +319,15 @@
         self._targets.take(tuple(targets), time.monotonic())
         self._refresh_targets()
 
+    def _take_orders(self) -> None:
+        orders = []
+        for item in self._view.objects(self.outside.orders_kind):
+            try:
+                orders.append(self.outside.decode_order(item))
+            except ValueError as error:
+                self._unreadable(item, error)
+        self._trials.set_orders(orders, time.monotonic())
+
     def _unreadable(self, item: StoredObject, error: ValueError) -> None:
         self.record(
             Event.OBJECT_UNREADABLE,
@@ -294,6 +385,7 @@
             taken=self._quotas.taken(),
             revisions=self._view.revisions(),
             peers=tuple(peer.message.address for peer in heard),
+            evidence=self._trials.evidence.own(),
         )
 
     def _hear(self, message: peers_module.Message) -> None:
@@ -303,6 +395,9 @@
         if not self._peers.hear(message, now_s):
             return
         self._quotas.hear(message.name, message.incarnation, message.taken)
+        self._trials.evidence.hear(
+            message.name, message.incarnation, message.evidence
+        )
         self._rooms.set_peers(self._peers.loads(now_s))
         self._placing.pump_all()
         for kind, revision in self._view.revisions().items():
--- a/wigeonfall/forwarding/path.py
+++ b/wigeonfall/forwarding/path.py
@@ -28,6 +28,7 @@
 from .work import Work
 
 NO_TABLE_RETRY_S = 0.5  # a start takes about as long
+ELSEWHERE_RETRY_S = 0.05  # a new connection goes to another instance
 RESENDS = 2  # after refusals of targets, for one request
 RETURN_SHARE = 0.95  # callers that come back have less time than others
 
@@ -38,6 +39,7 @@
 
     Attributes:
         index: returns the routing table in force, or None.
+        leaving: returns whether callers are to go to other instances.
         names: header names.
         placing: waits for targets.
         attempts: what is needed to send requests.
@@ -50,6 +52,7 @@
     """
 
     index: Callable[[], routing.RoutingIndex | None]
+    leaving: Callable[[], bool]
     names: Dialect
     placing: Placing
     attempts: Attempts
@@ -100,7 +103,12 @@
         """Answer one call."""
         index = self._parts.index()
         if index is None:
-            self._refuse_unknown(reply, 'no configuration yet')
+            self._refuse_unread(
+                reply, 'no configuration yet', NO_TABLE_RETRY_S
+            )
+            return
+        if self._parts.leaving():
+            self._refuse_unread(reply, 'instance stops', ELSEWHERE_RETRY_S)
             return
         matched = match(index, call, self._parts.names)
         if isinstance(matched, Err):
@@ -325,8 +333,10 @@
             status = http.HTTPStatus.GATEWAY_TIMEOUT
         self._refuse(work, reply, progress, status, 'out of time', None)
 
-    def _refuse_unknown(self, reply: Reply, reason: str) -> None:
-        headers = (_retry_after(NO_TABLE_RETRY_S),)
+    def _refuse_unread(
+        self, reply: Reply, reason: str, delay_s: float
+    ) -> None:
+        headers = (_retry_after(delay_s),)
         reply.send(http.HTTPStatus.SERVICE_UNAVAILABLE, headers, b'')
         self._parts.record(
             Event.CALL_REJECTED, status=503, reason=reason, request_id=''
--- a/wigeonfall/forwarding/peers.py
+++ b/wigeonfall/forwarding/peers.py
@@ -35,7 +35,7 @@
         taken: tokens taken so far by customer.
         revisions: newest known change by kind of object.
         peers: addresses of the instances that it hears.
-        evidence: counts of answers, by version and outcome.
+        evidence: counts of answers by service, version and outcome.
     """
 
     name: str
--- a/wigeonfall/forwarding/process.py
+++ b/wigeonfall/forwarding/process.py
@@ -23,6 +23,8 @@
 from ..metrics import Metrics
 from ..model.routing import RoutingTable
 from ..model.target import Target
+from ..policy.version_trial import Order
+from ..policy.version_trial import State
 from ..ports.objects import ObjectStore
 from ..ports.platform import StoredObject
 from . import settings as settings_module
@@ -52,6 +54,9 @@
         decode_table: reads its value; raises ValueError.
         targets_kind: kind of the entries of targets.
         decode_target: reads one; raises ValueError.
+        orders_kind: kind of the orders to move a service to a version.
+        decode_order: reads one; raises ValueError.
+        encode_order: returns the status of an order in a state.
         instances_kind: kind of the entries of instances.
         ready_path: path at which the balancer asks.
     """
@@ -63,6 +68,9 @@
     decode_table: Callable[[Any], RoutingTable]
     targets_kind: str
     decode_target: Callable[[StoredObject], Target]
+    orders_kind: str
+    decode_order: Callable[[StoredObject], Order]
+    encode_order: Callable[[Order, State], dict[str, Any]]
     instances_kind: str
     ready_path: bytes
 
@@ -264,14 +272,21 @@
         while now_s < end_s:
             if any(connection.busy for connection in port.connections):
                 busy_s = now_s
+            if now_s >= settled_s:
+                self._instance.turn_away()
+                _close_idle(port)
             if now_s >= max(settled_s, busy_s + QUIET_S):
                 break
             await asyncio.sleep(STOP_POLL_S)
             now_s = time.monotonic()
         for server in servers:
             server.close()
-        for connection in tuple(port.connections):
-            connection.close_idle()
+        _close_idle(port)
+
+
+def _close_idle(port: CallersPort) -> None:
+    for connection in tuple(port.connections):
+        connection.close_idle()
 
 
 def _read_text(path: pathlib.Path) -> bytes:
--- a/wigeonfall/forwarding/settings.py
+++ b/wigeonfall/forwarding/settings.py
@@ -49,11 +49,12 @@
 
     Attributes:
         grace_s: time until the process is killed.
-        settle_s: time that the balancer gets to see the instance unready.
+        settle_s: time that the balancer gets to see the instance unready;
+            calls that come later are sent to other instances.
     """
 
     grace_s: float = 8.0
-    settle_s: float = 3.0
+    settle_s: float = 2.8
 
 
 @attrs.frozen
--- /dev/null
+++ b/wigeonfall/policy/version_trial.py
@@ -0,0 +1,220 @@
+"""Moves a service to a new version on evidence from all instances.
+
+Load pattern: a new version fails or is several times slower than the old one,
+at once or under load. It gets a small part of the requests until the evidence
+carries it, then all of them, and the move is final once the old targets are
+idle. A version found bad gets nothing more.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import enum
+
+import attrs
+import xxhash
+
+TRIAL_SHARE = 0.05  # half of the published exposure
+MOVE_AT = 0.5  # of the time allowed: the trial ends
+FINISH_AT = 0.9  # of the time allowed: the move is final or taken back
+LEAST_ANSWERS = 12  # evidence for a move
+LEAST_BAD = 4  # bad answers that count as evidence
+BAD_FACTOR = 2.5  # against the old version's share of bad answers
+BAD_EXCESS = 0.08
+SLOW_FACTOR = 2.0  # against the slowest old target
+_HASH_RANGE = 2**64
+
+
+class State(enum.Enum):
+    """How far the move of a service has come."""
+
+    RUNNING = 'running'
+    COMPLETED = 'completed'
+    TAKEN_BACK = 'taken-back'
+
+
+@attrs.frozen
+class Order:
+    """An order to move a service to a version.
+
+    Attributes:
+        name: name of its entry in the store.
+        service: name of the service.
+        version: the new version.
+        duration_s: time in which the move is to be made.
+        state: what was last written of it.
+    """
+
+    name: str
+    service: str
+    version: str
+    duration_s: float
+    state: State
+
+
+@attrs.define
+class Trial:
+    """An order and when it was first seen.
+
+    Attributes:
+        order: the order.
+        seen_s: time on the monotonic clock.
+        verdict: what this instance found.
+        moving: whether all requests go to the new version.
+    """
+
+    order: Order
+    seen_s: float
+    verdict: State = State.RUNNING
+    moving: bool = False
+
+
+class Evidence:
+    """Answers by version, from this instance and its peers."""
+
+    def __init__(self) -> None:
+        self._own: dict[str, int] = {}
+        self._peers: dict[tuple[str, int], Mapping[str, int]] = {}
+
+    def own(self) -> dict[str, int]:
+        """Return this instance's counts."""
+        return dict(self._own)
+
+    def count(self, service: str, version: str, outcome: str) -> None:
+        """Count an answer."""
+        key = f'{service}/{version}/{outcome}'
+        self._own[key] = self._own.get(key, 0) + 1
+
+    def hear(
+        self, peer: str, incarnation: int, counts: Mapping[str, int]
+    ) -> None:
+        """Take the counts of one start of a peer."""
+        self._peers[peer, incarnation] = counts
+
+    def total(self, service: str, version: str, outcome: str) -> int:
+        """Return the count of all instances."""
+        key = f'{service}/{version}/{outcome}'
+        heard = sum(counts.get(key, 0) for counts in self._peers.values())
+        return self._own.get(key, 0) + heard
+
+
+class Trials:
+    """The moves of all services, as one instance sees them."""
+
+    def __init__(self) -> None:
+        self.evidence = Evidence()
+        self._trials: dict[str, Trial] = {}
+
+    def set_orders(self, orders: Iterable[Order], now_s: float) -> None:
+        """Take the orders that stand."""
+        present = {order.service: order for order in orders}
+        for service in tuple(self._trials):
+            if service not in present:
+                del self._trials[service]
+        for service, order in present.items():
+            trial = self._trials.get(service)
+            if trial is None or trial.order.version != order.version:
+                trial = Trial(order, now_s)
+                self._trials[service] = trial
+            trial.order = order
+            if order.state is not State.RUNNING:
+                trial.verdict = order.state
+
+    def suits(self, service: str, version: str, request_id: str) -> bool:
+        """Return whether targets of a version may get a request."""
+        trial = self._trials.get(service)
+        if trial is None:
+            return True
+        new = version == trial.order.version
+        if trial.verdict is State.TAKEN_BACK:
+            return not new
+        if trial.verdict is State.COMPLETED or trial.moving:
+            return new
+        digest = xxhash.xxh64_intdigest(request_id.encode())
+        return new == (digest < TRIAL_SHARE * _HASH_RANGE)
+
+    def judged(
+        self,
+        service: str,
+        version: str,
+        ok: bool,
+        cost: float,
+        slowest_old: float,
+    ) -> None:
+        """Count an answer while a move runs.
+
+        Args:
+            service: name of the service.
+            version: version of the target that answered.
+            ok: whether it was a success.
+            cost: seconds for a unit of work.
+            slowest_old: the same for the slowest target of other versions,
+                0 if unknown.
+        """
+        trial = self._trials.get(service)
+        if trial is None or trial.verdict is not State.RUNNING:
+            return
+        new = version == trial.order.version
+        slow = new and slowest_old > 0 and cost > SLOW_FACTOR * slowest_old
+        name = trial.order.version if new else f'before {trial.order.version}'
+        good = ok and not slow
+        self.evidence.count(service, name, 'good' if good else 'bad')
+
+    def decide(
+        self, service: str, old_busy: bool, now_s: float
+    ) -> State | None:
+        """Return a verdict that is to be written, or None.
+
+        Args:
+            service: name of the service.
+            old_busy: whether old targets still run requests.
+            now_s: present time on the monotonic clock.
+        """
+        trial = self._trials.get(service)
+        if trial is None or trial.order.state is not State.RUNNING:
+            return None
+        if trial.verdict is State.RUNNING:
+            self._judge(trial, old_busy, now_s)
+        if trial.verdict is State.RUNNING:
+            return None
+        return trial.verdict
+
+    def running(self) -> tuple[Order, ...]:
+        """Return the orders whose end is not written yet."""
+        return tuple(
+            trial.order
+            for trial in self._trials.values()
+            if trial.order.state is State.RUNNING
+        )
+
+    def _judge(self, trial: Trial, old_busy: bool, now_s: float) -> None:
+        order = trial.order
+        good, bad = self._counts(order.service, order.version)
+        if self._found_bad(order, good, bad):
+            trial.verdict = State.TAKEN_BACK
+            return
+        used = (now_s - trial.seen_s) / max(0.001, order.duration_s)
+        enough = good + bad >= LEAST_ANSWERS
+        if used >= MOVE_AT and enough:
+            trial.moving = True
+        if trial.moving and not old_busy and used >= MOVE_AT + 0.1:
+            trial.verdict = State.COMPLETED
+        elif used >= FINISH_AT:
+            trial.verdict = (
+                State.COMPLETED if trial.moving else State.TAKEN_BACK
+            )
+
+    def _found_bad(self, order: Order, good: int, bad: int) -> bool:
+        if bad < LEAST_BAD:
+            return False
+        old_good, old_bad = self._counts(
+            order.service, f'before {order.version}'
+        )
+        usual = old_bad / max(1, old_good + old_bad)
+        return bad / (good + bad) > BAD_FACTOR * usual + BAD_EXCESS
+
+    def _counts(self, service: str, version: str) -> tuple[int, int]:
+        total = self.evidence.total
+        return (
+            total(service, version, 'good'),
+            total(service, version, 'bad'),
+        )
