Place by learned times to a first event, and limit tokens in a window

Change: limits count the published window over all instances; instances learn and share each target's time for prompts and answers, count prompts that are not read yet, and leave out targets that would outlast a caller's patience; a silent target is given up only where another may run the request.

--- a/wigeonfall/forwarding/attempt.py
+++ b/wigeonfall/forwarding/attempt.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import enum
+import http
 import time
 from typing import Protocol
 
@@ -18,6 +19,7 @@
 from .exchange import Exchange
 from .exchange import ExchangeError
 from .exchange import Head
+from .placing import Place
 from .work import caller_headers
 from .work import target_request
 from .work import Work
@@ -27,9 +29,8 @@
 STREAM_FIRST_GOALS = 4.0  # goals after which a silent target is given up
 STREAM_PAUSES = 6.0  # pause goals after which a silent target is given up
 SILENCE_LEAST_S = 1.2
-PROMPT_TOKENS_A_UNIT = 500  # prompt tokens that cost as much as an event
-UNITS_A_REQUEST = 2.0
-SERVER_ERROR = 500
+SERVER_ERROR = http.HTTPStatus.INTERNAL_SERVER_ERROR
+MISDIRECTED = http.HTTPStatus.MISDIRECTED_REQUEST
 
 
 class Outcome(enum.Enum):
@@ -75,10 +76,16 @@
     longest_pause_s: float = 0.0
 
 
-class Ran(Protocol):
-    """Where it is noted that a target may have run a request."""
+class Fate(Protocol):
+    """What may have become of a request, over all attempts.
+
+    Attributes:
+        ran: whether a target may have run it.
+        repeatable: whether another target may run it after this one.
+    """
 
     ran: bool
+    repeatable: bool
 
 
 @attrs.frozen
@@ -89,6 +96,7 @@
         connections: connections to targets.
         rooms: what is learned of targets.
         names: header names.
+        began: takes note that a prompt was read.
         left: takes note that a target is not what the list says.
         judged: takes evidence on a target's version.
     """
@@ -96,6 +104,7 @@
     connections: exchange_module.TargetConnections
     rooms: Rooms
     names: Dialect
+    began: Callable[[Place], None]
     left: Callable[[Target], None]
     judged: Callable[[Work, Target, bool, float], None]
 
@@ -116,28 +125,31 @@
 
 
 async def run(
-    attempts: Attempts, work: Work, target: Target, relay: Relay, ran: Ran
+    attempts: Attempts, work: Work, place: Place, relay: Relay, fate: Fate
 ) -> Result:
     """Send a request to a target and pass its answer on.
 
     Args:
         attempts: what attempts need.
         work: the request.
-        target: where to send it.
+        place: leave to send it to a target.
         relay: the answer on its way to the caller.
-        ran: noted as soon as the target may have run the request.
+        fate: whether the target may have run the request, which is noted
+            at once.
     """
+    target = place.target
     began_s = time.monotonic()
-    before = ran.ran
+    before = fate.ran
     try:
         exchange = await _send(attempts, work, target, relay, began_s)
     except ExchangeError as error:
         attempts.rooms.broken(target.name, time.monotonic())
         attempts.connections.forget(target.address)
         return Result(Outcome.NOT_CONNECTED, detail=str(error))
-    ran.ran = True
+    fate.ran = True
+    sent = _Sent(exchange, place, began_s, fate.repeatable)
     try:
-        result = await _receive(attempts, work, exchange, relay, began_s)
+        result = await _receive(attempts, work, sent, relay)
     except ExchangeError as error:
         result = Result(Outcome.BROKEN, detail=str(error))
         attempts.rooms.broken(target.name, time.monotonic())
@@ -145,8 +157,8 @@
     finally:
         exchange.close()
     if result.outcome is Outcome.NOT_RUN:
-        ran.ran = before
-    _learn(attempts, work, target, result, time.monotonic() - began_s)
+        fate.ran = before
+    _learn(attempts, work, place, result, time.monotonic() - began_s)
     return result
 
 
@@ -170,30 +182,43 @@
     )
 
 
+@attrs.frozen
+class _Sent:
+    """A request that was sent.
+
+    Attributes:
+        exchange: the request and its answer.
+        place: the target's place for it.
+        began_s: when it was sent, on the monotonic clock.
+        repeatable: whether another target may run it after this one.
+    """
+
+    exchange: Exchange
+    place: Place
+    began_s: float
+    repeatable: bool
+
+
 async def _receive(
-    attempts: Attempts,
-    work: Work,
-    exchange: Exchange,
-    relay: Relay,
-    began_s: float,
+    attempts: Attempts, work: Work, sent: _Sent, relay: Relay
 ) -> Result:
-    silence_s = _first_silence_s(work, began_s)
+    silence_s = _first_silence_s(work, sent)
     try:
         async with asyncio.timeout(silence_s):
-            head = await exchange.head()
+            head = await sent.exchange.head()
     except TimeoutError:
         _raise_if_due(work)
         return Result(Outcome.SILENT, detail='no head')
     names = attempts.names
-    if head.header(names.not_run.lower()) or head.status == 421:
+    if head.header(names.not_run.lower()) or head.status == MISDIRECTED:
         return Result(Outcome.NOT_RUN, head.status, 'refused by the target')
     if not _sound(head, names):
         return Result(Outcome.BROKEN, head.status, 'answer without receipt')
-    if head.status >= 300:
-        return await _failure(exchange, head, relay, began_s)
+    if head.status >= http.HTTPStatus.MULTIPLE_CHOICES:
+        return await _failure(sent, head, relay)
     if work.route.streaming:
-        return await _stream(work, exchange, head, relay, began_s)
-    return await _plain(work, exchange, head, relay, began_s)
+        return await _stream(attempts, work, sent, head, relay)
+    return await _plain(attempts, work, sent, head, relay)
 
 
 def _raise_if_due(work: Work) -> None:
@@ -205,72 +230,90 @@
 def _sound(head: Head, names: Dialect) -> bool:
     if head.header(names.body_encoding.lower()):
         return False
-    return head.status >= 300 or bool(head.header(names.receipt.lower()))
+    failure = head.status >= http.HTTPStatus.MULTIPLE_CHOICES
+    return failure or bool(head.header(names.receipt.lower()))
 
 
-def _first_silence_s(work: Work, now_s: float) -> float | None:
+def _first_silence_s(work: Work, sent: _Sent) -> float | None:
     """Return how long a target may say nothing, None for no limit."""
-    if not work.route.repeatable:
+    if not sent.repeatable:
         return None
     if work.route.streaming:
         goal_s = STREAM_FIRST_GOALS * work.route.answer_goal_s
         return max(SILENCE_LEAST_S, goal_s)
-    return PLAIN_FIRST_SHARE * (work.deadline_s - now_s)
+    return PLAIN_FIRST_SHARE * (work.deadline_s - sent.began_s)
 
 
-async def _failure(
-    exchange: Exchange, head: Head, relay: Relay, began_s: float
-) -> Result:
-    body = await exchange.read_whole(PLAIN_BODY_BYTES)
+def _pause_s(work: Work, sent: _Sent, events: int) -> float | None:
+    """Return how long a stream may pause, None for no limit."""
+    if not sent.repeatable:
+        return None
+    if not events:
+        return _first_silence_s(work, sent)
+    return max(SILENCE_LEAST_S, STREAM_PAUSES * work.route.pace_goal_s)
+
+
+async def _failure(sent: _Sent, head: Head, relay: Relay) -> Result:
+    body = await sent.exchange.read_whole(PLAIN_BODY_BYTES)
     if body is None:
         return Result(Outcome.BROKEN, head.status, 'failure too long')
     headers = caller_headers(head.headers)
     answer = WholeAnswer(head.status, headers, body)
-    first_s = time.monotonic() - began_s
+    first_s = time.monotonic() - sent.began_s
     if head.status < SERVER_ERROR and not relay.begun:
         relay.reply.send(answer.status, answer.headers, answer.body)
         return Result(Outcome.ANSWERED, head.status, first_s=first_s)
-    outcome = Outcome.FAILED
-    return Result(outcome, head.status, 'failure', answer, first_s=first_s)
+    return Result(
+        Outcome.FAILED, head.status, 'failure', answer, first_s=first_s
+    )
+
+
+def _note_first(attempts: Attempts, sent: _Sent, now_s: float) -> float:
+    """Learn from the first byte or event; return the time that it took."""
+    first_s = now_s - sent.began_s
+    tokens = sent.place.reading_tokens
+    name = sent.place.target.name
+    attempts.rooms.observed_first(name, tokens, first_s, now_s)
+    attempts.began(sent.place)
+    return first_s
 
 
 async def _plain(
-    work: Work, exchange: Exchange, head: Head, relay: Relay, began_s: float
+    attempts: Attempts, work: Work, sent: _Sent, head: Head, relay: Relay
 ) -> Result:
-    first_s = time.monotonic() - began_s
+    first_s = _note_first(attempts, sent, time.monotonic())
     reply = relay.reply
     headers = caller_headers(head.headers)
-    if head.length is not None and head.length <= PLAIN_BODY_BYTES:
-        body = await exchange.read_whole(PLAIN_BODY_BYTES)
-        reply.send(head.status, headers, body or b'')
+    short = head.length is not None and head.length <= PLAIN_BODY_BYTES
+    if short or work.route.repeatable:
+        body = await sent.exchange.read_whole(PLAIN_BODY_BYTES)
+        if body is None:
+            return Result(Outcome.BROKEN, head.status, 'answer too long')
+        reply.send(head.status, headers, body)
         return Result(Outcome.ANSWERED, head.status, first_s=first_s)
-    if work.route.repeatable:
-        body = await exchange.read_whole(PLAIN_BODY_BYTES)
-        if body is not None:
-            reply.send(head.status, headers, body)
-            return Result(Outcome.ANSWERED, head.status, first_s=first_s)
-        return Result(Outcome.BROKEN, head.status, 'answer too long')
     relay.begun = True
     reply.begin(head.status, headers, head.length)
-    while part := await exchange.read():
+    while part := await sent.exchange.read():
         await reply.write(part)
     reply.finish()
     return Result(Outcome.ANSWERED, head.status, first_s=first_s)
 
 
 async def _stream(
-    work: Work, exchange: Exchange, head: Head, relay: Relay, began_s: float
+    attempts: Attempts, work: Work, sent: _Sent, head: Head, relay: Relay
 ) -> Result:
     splitter = relay.splitter
     splitter.restart()
     events_before = splitter.events
     first_s = 0.0
     longest_s = 0.0
-    last_s = began_s
+    last_s = sent.began_s
     while True:
         try:
-            async with asyncio.timeout(_pause_s(work, splitter.events)):
-                part = await exchange.read()
+            async with asyncio.timeout(
+                _pause_s(work, sent, splitter.events - events_before)
+            ):
+                part = await sent.exchange.read()
         except TimeoutError:
             _raise_if_due(work)
             return Result(Outcome.SILENT, head.status, 'stream fell silent')
@@ -283,7 +326,7 @@
         if first_s:
             longest_s = max(longest_s, now_s - last_s)
         else:
-            first_s = now_s - began_s
+            first_s = _note_first(attempts, sent, now_s)
         last_s = now_s
         if not relay.begun:
             relay.begun = True
@@ -301,32 +344,20 @@
     )
 
 
-def _pause_s(work: Work, events: int) -> float | None:
-    if not work.route.repeatable:
-        return None
-    if not events:
-        goal_s = STREAM_FIRST_GOALS * work.route.answer_goal_s
-        return max(SILENCE_LEAST_S, goal_s)
-    return max(SILENCE_LEAST_S, STREAM_PAUSES * work.route.pace_goal_s)
-
-
 def _learn(
     attempts: Attempts,
     work: Work,
-    target: Target,
+    place: Place,
     result: Result,
     total_s: float,
 ) -> None:
     now_s = time.monotonic()
     rooms = attempts.rooms
+    target = place.target
     answered = result.outcome is Outcome.ANSWERED
-    units = (
-        UNITS_A_REQUEST
-        + result.events
-        + work.prompt_tokens / PROMPT_TOKENS_A_UNIT
-    )
     if answered:
-        rooms.observed(target.name, total_s / units, result.status < 300)
+        answer_s = max(0.0, total_s - result.first_s)
+        rooms.observed_answer(target.name, place.size, answer_s, now_s)
         if result.events > 1:
             goal_s = work.route.pace_goal_s
             rooms.paused(target.name, result.longest_pause_s, goal_s, now_s)
@@ -334,7 +365,7 @@
         rooms.failed(target.name)
     if result.outcome is Outcome.SILENT:
         attempts.connections.forget(target.address)
-    if result.status == 421:
+    if result.status == MISDIRECTED:
         attempts.left(target)
     if result.outcome is not Outcome.NOT_RUN:
-        attempts.judged(work, target, answered, total_s / units)
+        attempts.judged(work, target, answered, result.first_s)
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -22,6 +22,7 @@
 from . import peers as peers_module
 from ..policy import resend_budget
 from ..policy.room import Rooms
+from ..policy.room import Size
 from ..policy import routing
 from ..policy.target_view import TargetView
 from ..policy import token_quota
@@ -193,6 +194,7 @@
                 connections=self._connections,
                 rooms=self._rooms,
                 names=self.outside.names,
+                began=self._placing.began,
                 left=self._target_left,
                 judged=self._judged,
             ),
@@ -210,11 +212,12 @@
         return self._trials.suits(work.service, version, work.id)
 
     def _judged(
-        self, work: Work, target: Target, ok: bool, cost: float
+        self, work: Work, target: Target, ok: bool, first_s: float
     ) -> None:
+        now_s = time.monotonic()
         slowest_old = max(
             (
-                room.cost
+                room.first_s(Size(), now_s)
                 for room in self._rooms.all()
                 if room.target.service == work.service
                 and room.target.version != target.version
@@ -222,7 +225,7 @@
             default=0.0,
         )
         self._trials.judged(
-            work.service, target.version, ok, cost, slowest_old
+            work.service, target.version, ok, first_s, slowest_old
         )
 
     async def _decide_trials(self) -> None:
@@ -256,7 +259,7 @@
 
     def _old_busy(self, order: Order) -> bool:
         return any(
-            room.own + room.peers
+            room.outstanding
             for room in self._rooms.all()
             if room.target.service == order.service
             and room.target.version != order.version
@@ -276,7 +279,9 @@
 
     def _give_tokens_back(self, work: Work) -> None:
         if work.customer is not None:
-            self._quotas.give_back(work.customer.name, work.tokens)
+            self._quotas.give_back(
+                work.customer.name, work.tokens, time.monotonic()
+            )
 
     def _target_left(self, target: Target) -> None:
         """Take note that another target has the address of one."""
@@ -380,7 +385,7 @@
             incarnation=self._incarnation,
             sequence=self._sequence,
             address=self._settings.listen.peers_address,
-            outstanding=self._rooms.outstanding(),
+            targets=self._rooms.load(now_s),
             waiting=self._placing.waiting(),
             taken=self._quotas.taken(),
             revisions=self._view.revisions(),
@@ -394,7 +399,9 @@
         now_s = time.monotonic()
         if not self._peers.hear(message, now_s):
             return
-        self._quotas.hear(message.name, message.incarnation, message.taken)
+        self._quotas.hear(
+            message.name, message.incarnation, message.taken, now_s
+        )
         self._trials.evidence.hear(
             message.name, message.incarnation, message.evidence
         )
--- a/wigeonfall/forwarding/path.py
+++ b/wigeonfall/forwarding/path.py
@@ -71,6 +71,7 @@
     Attributes:
         ran: whether a target may have run it.
         runs: targets that may have run it.
+        repeatable: whether another target may run it after this one.
         refusals: targets that refused it.
         sent: attempts so far.
         excluded: targets that get no further attempt.
@@ -80,6 +81,7 @@
 
     ran: bool = False
     runs: int = 0
+    repeatable: bool = False
     refusals: int = 0
     sent: int = 0
     excluded: set[str] = attrs.field(factory=set)
@@ -165,9 +167,13 @@
                 return
             progress.target = place.target.name
             progress.sent += 1
+            progress.repeatable = (
+                work.route.repeatable
+                and progress.runs + 1 < work.route.attempts_limit
+            )
             try:
                 result = await attempt_module.run(
-                    self._parts.attempts, work, place.target, relay, progress
+                    self._parts.attempts, work, place, relay, progress
                 )
             finally:
                 self._parts.placing.release(work.service, place)
@@ -193,8 +199,10 @@
             rank=work.rank,
             returned=self._returned(work) or progress.sent > 0,
             arrived_s=work.call.arrived_s,
-            goal_s=work.call.arrived_s + route.answer_goal_s / 2,
+            goal_s=work.call.arrived_s + route.answer_goal_s,
+            patience_s=self._patience_at_s(work),
             give_up_s=now_s + wait_s,
+            size=work.size,
             suits=lambda name: (
                 name not in progress.excluded and self._parts.suits(work, name)
             ),
@@ -203,6 +211,13 @@
         progress.waited_s += time.monotonic() - now_s
         return place
 
+    def _patience_at_s(self, work: Work) -> float:
+        route = work.route
+        if not route.streaming:
+            return work.deadline_s
+        patience_s = waiting.patience_s(route.answer_goal_s, route.pace_goal_s)
+        return min(work.deadline_s, work.call.arrived_s + patience_s)
+
     def _returned(self, work: Work) -> bool:
         longest_s = max(
             self._longest_s.get(work.route.name, 0.0), work.caller_s
--- a/wigeonfall/forwarding/peers.py
+++ b/wigeonfall/forwarding/peers.py
@@ -8,16 +8,20 @@
 from collections.abc import Callable
 import json
 from typing import Any, cast
+import zlib
 
 import attrs
 
 from ..events import Event
+from ..policy.learned import Said
 from ..policy.room import PeerLoad
+from ..policy.room import TargetLoad
 from ..recorder import Record
 
-SEND_LEAST_S = 0.03  # between two messages
+SEND_LEAST_S = 0.05  # between two messages
 SEND_MOST_S = 0.25  # heartbeat
 HEARD_S = 1.2  # several heartbeats
+_COMPRESSION_LEVEL = 1  # messages are small and many
 KNOWN_S = 30.0  # a peer that is silent for longer is forgotten
 
 
@@ -30,7 +34,7 @@
         incarnation: random number that tells its starts apart.
         sequence: grows with each message of one start.
         address: "host:port" of its datagrams and its snapshot.
-        outstanding: requests by target.
+        targets: load by target.
         waiting: waiting requests by service and rank.
         taken: tokens taken so far by customer.
         revisions: newest known change by kind of object.
@@ -42,7 +46,7 @@
     incarnation: int
     sequence: int
     address: str
-    outstanding: dict[str, int]
+    targets: dict[str, TargetLoad]
     waiting: dict[str, dict[int, int]]
     taken: dict[str, float]
     revisions: dict[str, int]
@@ -52,7 +56,18 @@
 
 def encode(message: Message) -> bytes:
     """Return the bytes of a message."""
-    return json.dumps(attrs.asdict(message), separators=(',', ':')).encode()
+    fields = attrs.asdict(message)
+    fields['targets'] = {
+        name: (
+            load.requests,
+            round(load.reading_tokens),
+            *_rounded(load.reading_s),
+            *_rounded(load.writing_s),
+        )
+        for name, load in message.targets.items()
+    }
+    text = json.dumps(fields, separators=(',', ':'))
+    return zlib.compress(text.encode(), _COMPRESSION_LEVEL)
 
 
 def decode(data: bytes) -> Message:
@@ -62,17 +77,47 @@
         ValueError: the bytes are no message.
     """
     try:
-        fields: dict[str, Any] = json.loads(data)
+        fields: dict[str, Any] = json.loads(zlib.decompress(data))
+        fields['targets'] = {
+            name: _target_load(*values)
+            for name, values in fields['targets'].items()
+        }
         fields['waiting'] = {
             service: {int(rank): int(n) for rank, n in counts.items()}
             for service, counts in fields['waiting'].items()
         }
         fields['peers'] = tuple(fields['peers'])
         return Message(**fields)
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+    except (
+        AttributeError,
+        KeyError,
+        TypeError,
+        ValueError,
+        zlib.error,
+    ) as error:
         raise ValueError(f'no message of a peer: {error!r}') from error
 
 
+def _rounded(said: Said) -> tuple[float, float]:
+    return float(f'{said.value:.3g}'), round(said.weight, 1)
+
+
+def _target_load(
+    requests: int,
+    reading_tokens: float,
+    reading_s: float,
+    reading_weight: float,
+    writing_s: float,
+    writing_weight: float,
+) -> TargetLoad:
+    return TargetLoad(
+        int(requests),
+        float(reading_tokens),
+        Said(float(reading_s), float(reading_weight)),
+        Said(float(writing_s), float(writing_weight)),
+    )
+
+
 @attrs.define
 class Peer:
     """What was last heard of one peer.
@@ -141,7 +186,7 @@
     def loads(self, now_s: float) -> list[PeerLoad]:
         """Return the loads of the peers that are heard."""
         return [
-            PeerLoad(p.message.outstanding, p.message.waiting, p.heard_s)
+            PeerLoad(p.message.targets, p.message.waiting)
             for p in self.heard(now_s)
         ]
 
--- a/wigeonfall/forwarding/placing.py
+++ b/wigeonfall/forwarding/placing.py
@@ -10,6 +10,7 @@
 from ..model.target import Target
 from ..policy.room import PeerLoad
 from ..policy.room import Rooms
+from ..policy.room import Size
 from ..policy.waiting import Queue
 from ..policy.waiting import Wish
 
@@ -23,10 +24,16 @@
     Attributes:
         target: the target.
         waited_s: time that the request waited.
+        reading_tokens: prompts that the target reads first, this included.
+        size: what the request asks of the target.
+        reading: whether the prompt is not known to be read.
     """
 
     target: Target
     waited_s: float
+    reading_tokens: float
+    size: Size
+    reading: bool = True
 
 
 class Placing:
@@ -92,8 +99,15 @@
         finally:
             self._futures.pop(wish.id, None)
 
+    def began(self, place: Place) -> None:
+        """Note that the prompt of a request was read, or given up."""
+        if place.reading:
+            place.reading = False
+            self.rooms.began(place.target.name, place.size)
+
     def release(self, service: str, place: Place) -> None:
         """Return a place."""
+        self.began(place)
         self.rooms.ended(place.target.name)
         queue = self._queues.get(service)
         if queue is not None and len(queue):
@@ -112,9 +126,15 @@
         names = self._names_of(service)
         for wish, room in queue.place(names, peers_waiting, now_s):
             placed = True
-            place = Place(room.target, now_s - wish.arrived_s)
+            place = Place(
+                room.target,
+                now_s - wish.arrived_s,
+                room.reading_tokens(),
+                wish.size,
+            )
             future = self._futures.get(wish.id)
             if future is None or future.done():
+                self.began(place)
                 self.rooms.ended(room.target.name)
             else:
                 future.set_result(place)
--- a/wigeonfall/forwarding/work.py
+++ b/wigeonfall/forwarding/work.py
@@ -10,6 +10,7 @@
 
 from ..model.routing import KeyHolder
 from ..model.routing import Route
+from ..policy.room import Size
 from ..policy import routing
 from .callers import Call
 from .callers import Headers
@@ -44,7 +45,7 @@
         service: service that answers it.
         rank: urgency; 0 goes first.
         tokens: tokens that it counts against the customer's limit.
-        prompt_tokens: tokens that the target reads.
+        size: what it asks of the target.
         deadline_s: end of the caller's time or the route's, on the
             monotonic clock.
         caller_s: time that the caller will wait from its arrival.
@@ -57,7 +58,7 @@
     service: str
     rank: int
     tokens: float
-    prompt_tokens: int
+    size: Size
     deadline_s: float
     caller_s: float
 
@@ -110,7 +111,7 @@
             service=routing.choose_service(route, request_id),
             rank=_rank(route, customer),
             tokens=_tokens(customer, prompt, answer),
-            prompt_tokens=prompt,
+            size=Size(prompt, answer),
             deadline_s=call.arrived_s + min(caller_s, route.timeout_s),
             caller_s=caller_s,
         )
--- a/wigeonfall/policy/room.py
+++ b/wigeonfall/policy/room.py
@@ -1,10 +1,13 @@
 """Room at the targets of a service, and which target suits a request best.
 
-Load patterns: targets are unlike in speed without saying so; a slow one that
-is full breaks the pauses between events; some fail part of their requests or
-fall silent. Each instance counts what it has outstanding at each target and
-what its peers say that they have, learns the speed of each target from its own
-answers, and lowers the limit of a target whose pauses come near their goal.
+Load patterns: targets are unlike in speed without saying so; long prompts hold
+up the first event of what comes after them, most at a slow target; a slow one
+that is full breaks the pauses between events; some fail part of their requests
+or fall silent. Each instance counts what it has outstanding at each target and
+what its peers say that they have. It learns, with its peers, how long a target
+takes for a prompt and for an answer, and lowers the limit of a target whose
+pauses come near their goal. A target of which nothing is known gets few
+requests at first.
 """
 
 from collections.abc import Iterable
@@ -13,21 +16,67 @@
 import attrs
 
 from ..model.target import Target
+from .learned import joined
+from .learned import Learned
+from .learned import Said
 
 DEFAULT_SLOTS = 8
-SPEED_GAIN = 0.2  # weight of a new observation in an average
+BASE_TOKENS = 5000.0  # a first event costs this even without a prompt
+UNSEEN_REQUESTS = 2  # at a target of which nothing is known
 FAILURE_GAIN = 0.15  # weight of a new outcome in an average
-UNSEEN_COST = 0.9  # targets without an observation are tried early
-FULL_COST = 0.6  # a full target takes up to this much longer
 FAR_COST = 0.03  # crossing data centres
 FAILURE_COST = 4.0
+ANSWER_SHARE = 0.5  # of the time of an answer, against that of a prompt
+LATE_COST = 3.0  # of an answer that would miss its goal
 SUSPECT_S = 0.5  # first pause after a broken connection
 SUSPECT_MOST_S = 4.0
 PACE_HIGH = 0.8  # share of the pause goal at which a limit falls
 LIMIT_STEP = 0.5
 LIMIT_RISE_S = 0.5
 LEAST_LIMIT = 3.0
-OVER_LIMIT = 1.0  # limits end at the slots of a target
+
+
+@attrs.frozen
+class Size:
+    """What a request asks of a target.
+
+    Attributes:
+        prompt_tokens: tokens to read.
+        answer_tokens: most tokens to generate.
+    """
+
+    prompt_tokens: float = 0.0
+    answer_tokens: float = 0.0
+
+
+@attrs.frozen
+class TargetLoad:
+    """What one instance has outstanding at a target, and learned of it.
+
+    Attributes:
+        requests: requests outstanding.
+        reading_tokens: prompts of those without a first event.
+        reading_s: learned seconds for a token of a prompt.
+        writing_s: learned seconds for a token of an answer.
+    """
+
+    requests: int
+    reading_tokens: float
+    reading_s: Said
+    writing_s: Said
+
+
+@attrs.frozen
+class PeerLoad:
+    """What one peer says of its load.
+
+    Attributes:
+        targets: its load by target.
+        waiting: waiting requests by service and rank.
+    """
+
+    targets: Mapping[str, TargetLoad]
+    waiting: Mapping[str, Mapping[int, int]]
 
 
 @attrs.define
@@ -38,43 +87,67 @@
         target: the target.
         limit: most requests that all instances have outstanding there.
         own: requests of this instance outstanding there.
-        peers: requests of other instances outstanding there.
-        cost: time for a unit of work against other targets, 0 if unseen.
+        own_reading_tokens: prompts of those without a first event.
+        peers: loads that peers have there.
+        reading_s: learned seconds for a token of a prompt.
+        writing_s: learned seconds for a token of an answer.
         failures: share of the latest requests that failed.
         suspect_until_s: no new work before this time.
         suspicions: broken connections in a row.
-        lowered_s: time of the last change of the limit.
+        limited_s: time of the last change of the limit.
     """
 
     target: Target
     limit: float = DEFAULT_SLOTS
     own: int = 0
-    peers: int = 0
-    cost: float = 0.0
+    own_reading_tokens: float = 0.0
+    peers: list[TargetLoad] = attrs.field(factory=list)
+    reading_s: Learned = attrs.field(factory=Learned)
+    writing_s: Learned = attrs.field(factory=Learned)
     failures: float = 0.0
     suspect_until_s: float = 0.0
     suspicions: int = 0
-    lowered_s: float = 0.0
+    limited_s: float = 0.0
+
+    @property
+    def outstanding(self) -> int:
+        """Requests of all instances outstanding there."""
+        return self.own + sum(load.requests for load in self.peers)
 
     @property
     def free(self) -> float:
         """Requests that the target still has room for."""
-        return self.limit - self.own - self.peers
+        return self.limit - self.outstanding
+
+    def reading_tokens(self) -> float:
+        """Return the prompts that are read before a new one."""
+        peers = sum(load.reading_tokens for load in self.peers)
+        return self.own_reading_tokens + peers
+
+    def first_s(self, size: Size, now_s: float) -> float:
+        """Return the predicted time to a first event, 0 if unknown."""
+        said = (load.reading_s for load in self.peers)
+        pace_s = joined(self.reading_s, said, now_s)
+        tokens = BASE_TOKENS + size.prompt_tokens + self.reading_tokens()
+        return pace_s * tokens
+
+    def answer_s(self, size: Size, now_s: float) -> float:
+        """Return the predicted time from there to the end."""
+        said = (load.writing_s for load in self.peers)
+        return joined(self.writing_s, said, now_s) * size.answer_tokens
 
 
 @attrs.frozen
-class PeerLoad:
-    """What one peer says that it has outstanding.
+class Bounds:
+    """Times within which a first event is of use.
 
     Attributes:
-        outstanding: requests by target.
-        waiting: waiting requests by service and rank.
-        heard_s: time at which it said so, on the monotonic clock.
+        goal_s: time left until the goal is missed.
+        patience_s: time left until the caller leaves.
     """
 
-    outstanding: Mapping[str, int]
-    waiting: Mapping[str, Mapping[int, int]]
-    heard_s: float
+    goal_s: float
+    patience_s: float
 
 
 class Rooms:
@@ -105,32 +178,49 @@
             known.target = target
 
     def set_peers(self, loads: Iterable[PeerLoad]) -> None:
-        """Count what peers have outstanding."""
+        """Take what peers say of their load."""
         for room in self._rooms.values():
-            room.peers = 0
+            room.peers = []
         for load in loads:
-            for name, requests in load.outstanding.items():
+            for name, at_target in load.targets.items():
                 loaded = self._rooms.get(name)
                 if loaded is not None:
-                    loaded.peers += requests
+                    loaded.peers.append(at_target)
 
     def of(self, names: Iterable[str]) -> list[TargetRoom]:
         """Return the rooms of some targets."""
         return [self._rooms[name] for name in names if name in self._rooms]
 
-    def outstanding(self) -> dict[str, int]:
-        """Return the requests of this instance by target."""
-        return {n: room.own for n, room in self._rooms.items() if room.own}
-
     def all(self) -> tuple[TargetRoom, ...]:
         """Return the rooms of all targets."""
         return tuple(self._rooms.values())
 
-    def sent(self, name: str) -> None:
+    def load(self, now_s: float) -> dict[str, TargetLoad]:
+        """Return what this instance tells its peers."""
+        return {
+            name: TargetLoad(
+                room.own,
+                room.own_reading_tokens,
+                Said(room.reading_s.value, room.reading_s.weight_at(now_s)),
+                Said(room.writing_s.value, room.writing_s.weight_at(now_s)),
+            )
+            for name, room in self._rooms.items()
+            if room.own or room.reading_s.weight_at(now_s) > 0.1
+        }
+
+    def sent(self, name: str, size: Size) -> None:
         """Count a request that is sent to a target."""
         room = self._rooms.get(name)
         if room is not None:
             room.own += 1
+            room.own_reading_tokens += size.prompt_tokens
+
+    def began(self, name: str, size: Size) -> None:
+        """Count that the prompt of a request was read, or given up."""
+        room = self._rooms.get(name)
+        if room is not None:
+            left = room.own_reading_tokens - size.prompt_tokens
+            room.own_reading_tokens = max(0.0, left)
 
     def ended(self, name: str) -> None:
         """Count the end of a request at a target."""
@@ -138,22 +228,34 @@
         if room is not None and room.own:
             room.own -= 1
 
-    def observed(self, name: str, cost: float, ok: bool) -> None:
-        """Learn from an answer.
+    def observed_first(
+        self, name: str, tokens: float, first_s: float, now_s: float
+    ) -> None:
+        """Learn from a first event.
 
         Args:
             name: name of the target.
-            cost: seconds that it took for a unit of work.
-            ok: whether it was a success.
+            tokens: prompts that were read until then.
+            first_s: time that it took.
+            now_s: present time on the monotonic clock.
         """
         room = self._rooms.get(name)
+        if room is not None:
+            pace_s = first_s / (BASE_TOKENS + tokens)
+            room.reading_s.observe(pace_s, now_s)
+
+    def observed_answer(
+        self, name: str, size: Size, answer_s: float, now_s: float
+    ) -> None:
+        """Learn from a whole answer."""
+        room = self._rooms.get(name)
         if room is None:
             return
         room.suspicions = 0
-        room.failures += FAILURE_GAIN * ((not ok) - room.failures)
-        if ok:
-            weight = SPEED_GAIN if room.cost else 1.0
-            room.cost += weight * (cost - room.cost)
+        room.failures -= FAILURE_GAIN * room.failures
+        if size.answer_tokens:
+            pace_s = answer_s / size.answer_tokens
+            room.writing_s.observe(pace_s, now_s)
 
     def paused(
         self, name: str, pause_s: float, goal_s: float, now_s: float
@@ -162,23 +264,23 @@
         room = self._rooms.get(name)
         if room is None or goal_s <= 0:
             return
-        if now_s - room.lowered_s < LIMIT_RISE_S:
+        if now_s - room.limited_s < LIMIT_RISE_S:
             return
-        top = _slots(room.target) * OVER_LIMIT
+        top = _slots(room.target)
         if pause_s > PACE_HIGH * goal_s:
-            taken = min(room.limit, room.own + room.peers)
+            taken = min(room.limit, room.outstanding)
             room.limit = max(LEAST_LIMIT, taken - LIMIT_STEP)
-            room.lowered_s = now_s
+            room.limited_s = now_s
         elif room.limit < top:
             room.limit = min(top, room.limit + LIMIT_STEP)
-            room.lowered_s = now_s
+            room.limited_s = now_s
 
     def broken(self, name: str, now_s: float) -> None:
         """Hold a target back whose connections break or are refused."""
         room = self._rooms.get(name)
         if room is None:
             return
-        room.failures += FAILURE_GAIN * (1 - room.failures)
+        self.failed(name)
         pause_s = min(SUSPECT_MOST_S, SUSPECT_S * 2**room.suspicions)
         room.suspicions += 1
         room.suspect_until_s = now_s + pause_s
@@ -190,35 +292,53 @@
             room.failures += FAILURE_GAIN * (1 - room.failures)
 
     def choose(
-        self, rooms: Iterable[TargetRoom], now_s: float
+        self,
+        rooms: Iterable[TargetRoom],
+        size: Size,
+        bounds: Bounds,
+        now_s: float,
     ) -> TargetRoom | None:
         """Return the target with room that should answer soonest.
 
         Args:
             rooms: targets that may get the request.
+            size: what the request asks for.
+            bounds: times within which a first event is of use.
             now_s: present time on the monotonic clock.
 
         Returns:
-            The best target, or None if none has room.
+            The best target, or None if none has room in time.
         """
-        with_room = [r for r in rooms if r.free >= 1]
-        sound = [r for r in with_room if r.suspect_until_s <= now_s]
-        if not sound:
-            return None
-        known = [r.cost for r in self._rooms.values() if r.cost]
-        usual = min(known) if known else 1.0
-        return min(sound, key=lambda r: (self._cost(r, usual), r.target.name))
-
-    def _cost(self, room: TargetRoom, usual: float) -> float:
-        speed = room.cost or UNSEEN_COST * usual
-        load = (room.own + room.peers) / max(1.0, room.limit)
-        far = room.target.data_center != self._data_center
-        return (
-            speed
-            * (1 + FULL_COST * load)
-            * (1 + FAILURE_COST * room.failures)
-            * (1 + FAR_COST * far)
-        )
+        best: TargetRoom | None = None
+        best_cost = 0.0
+        for room in rooms:
+            if room.free < 1 or room.suspect_until_s > now_s:
+                continue
+            first_s = room.first_s(size, now_s)
+            if not first_s and room.outstanding >= UNSEEN_REQUESTS:
+                continue
+            if first_s > bounds.patience_s:
+                continue
+            cost = self._cost(room, first_s, size, bounds, now_s)
+            if best is None or cost < best_cost:
+                best, best_cost = room, cost
+        return best
+
+    def _cost(
+        self,
+        room: TargetRoom,
+        first_s: float,
+        size: Size,
+        bounds: Bounds,
+        now_s: float,
+    ) -> float:
+        cost = first_s + ANSWER_SHARE * room.answer_s(size, now_s)
+        if first_s > bounds.goal_s:
+            cost *= LATE_COST
+        cost *= 1 + FAILURE_COST * room.failures
+        if room.target.data_center != self._data_center:
+            cost *= 1 + FAR_COST
+        return cost
 
 
 def _slots(target: Target) -> int:
--- a/wigeonfall/policy/token_quota.py
+++ b/wigeonfall/policy/token_quota.py
@@ -2,38 +2,76 @@
 
 Load pattern: one customer sends many times its usual. What is beyond its
 limit must not take the room of the others, at whichever instance it arrives.
-Each instance keeps the bucket of the whole fleet: it takes out what it admits
-and what its peers say that they admitted. The part of the rate that belongs to
-peers which are not heard is left to them.
+A limit is what may run in any window of a given length: the rate times the
+window, and the burst. Each instance counts what it admitted and what its peers
+say that they admitted. The part of the limit that belongs to peers which are
+not heard is left to them.
 """
 
+import collections
+
 import attrs
 
 from ..model.routing import KeyHolder
 
-OVERDRAFT_SHARE = 0.1  # the published overage of a limit
+WINDOW_S = 8.0  # length of the published window
+WAIT_LEAST_S = 0.2
 
 
-@attrs.define
-class Bucket:
-    """The tokens that a customer may still use.
+@attrs.frozen
+class Taken:
+    """Tokens that were admitted at one time.
 
     Attributes:
-        tokens: tokens left; below zero after peers took more.
-        updated_s: time of the last change, on the monotonic clock.
-        taken_tokens: all that this instance ever took.
+        at_s: the time, on the monotonic clock.
+        tokens: the tokens; below zero if they were given back.
     """
 
+    at_s: float
     tokens: float
-    updated_s: float
-    taken_tokens: float = 0.0
+
+
+@attrs.define
+class Window:
+    """What a customer used lately.
+
+    Attributes:
+        limit_tokens: most tokens in a window, as last seen.
+        used_tokens: tokens in the window.
+        taken: when they were admitted.
+        own_tokens: all that this instance ever admitted.
+    """
+
+    limit_tokens: float
+    used_tokens: float = 0.0
+    taken: collections.deque[Taken] = attrs.field(factory=collections.deque)
+    own_tokens: float = 0.0
+
+    def add(self, tokens: float, now_s: float) -> None:
+        """Count tokens that were admitted or given back."""
+        self.taken.append(Taken(now_s, tokens))
+        self.used_tokens += tokens
+
+    def drop_old(self, now_s: float) -> None:
+        """Forget what the window has passed."""
+        while self.taken and self.taken[0].at_s <= now_s - WINDOW_S:
+            self.used_tokens -= self.taken.popleft().tokens
+
+    def room_s(self, missing_tokens: float, now_s: float) -> float:
+        """Return the time until that many tokens leave the window."""
+        for taken in self.taken:
+            missing_tokens -= taken.tokens
+            if missing_tokens <= 0:
+                left_s = taken.at_s + WINDOW_S - now_s
+                return max(WAIT_LEAST_S, left_s)
+        return WINDOW_S
 
 
 class TokenQuotas:
-    """The buckets of all customers, as one instance sees them."""
+    """The windows of all customers, as one instance sees them."""
 
     def __init__(self) -> None:
-        self._buckets: dict[str, Bucket] = {}
+        self._windows: dict[str, Window] = {}
         self._heard: dict[tuple[str, int], dict[str, float]] = {}
 
     def take(
@@ -56,34 +94,38 @@
         """
         if customer.tokens_per_s <= 0:
             return None
-        bucket = self._refill(customer, heard_share, now_s)
-        floor = -OVERDRAFT_SHARE * customer.burst_tokens
-        missing = tokens + floor - bucket.tokens
-        if missing > 0 and bucket.tokens < customer.burst_tokens:
-            return missing / (customer.tokens_per_s * heard_share)
-        bucket.tokens -= tokens
-        bucket.taken_tokens += tokens
+        window = self._window(customer, now_s)
+        most = window.limit_tokens * heard_share
+        missing = window.used_tokens + tokens - most
+        if missing > 0 and window.used_tokens > 0:
+            return window.room_s(missing, now_s)
+        window.add(tokens, now_s)
+        window.own_tokens += tokens
         return None
 
-    def give_back(self, customer: str, tokens: float) -> None:
+    def give_back(self, customer: str, tokens: float, now_s: float) -> None:
         """Return the tokens of a request that did not run."""
-        bucket = self._buckets.get(customer)
-        if bucket is not None:
-            bucket.tokens += tokens
-            bucket.taken_tokens -= tokens
+        window = self._windows.get(customer)
+        if window is not None:
+            window.add(-tokens, now_s)
+            window.own_tokens -= tokens
 
     def taken(self) -> dict[str, float]:
-        """Return what this instance took so far, by customer."""
+        """Return what this instance admitted so far, by customer."""
         return {
-            name: round(bucket.taken_tokens)
-            for name, bucket in self._buckets.items()
-            if bucket.taken_tokens
+            name: round(window.own_tokens)
+            for name, window in self._windows.items()
+            if window.own_tokens
         }
 
     def hear(
-        self, peer: str, incarnation: int, taken: dict[str, float]
+        self,
+        peer: str,
+        incarnation: int,
+        taken: dict[str, float],
+        now_s: float,
     ) -> None:
-        """Take out what a peer admitted since it was last heard."""
+        """Count what a peer admitted since it was last heard."""
         before = self._heard.get((peer, incarnation))
         if before is None:
             self._heard = {
@@ -93,22 +135,19 @@
             }
             before = {}
         for name, total in taken.items():
-            bucket = self._buckets.get(name)
-            if bucket is not None:
-                bucket.tokens -= total - before.get(name, 0.0)
+            new = total - before.get(name, 0.0)
+            if new:
+                window = self._windows.setdefault(name, Window(0.0))
+                window.add(new, now_s)
         self._heard[peer, incarnation] = taken
 
-    def _refill(
-        self, customer: KeyHolder, heard_share: float, now_s: float
-    ) -> Bucket:
-        bucket = self._buckets.get(customer.name)
-        if bucket is None:
-            bucket = Bucket(customer.burst_tokens, now_s)
-            self._buckets[customer.name] = bucket
-        elapsed_s = max(0.0, now_s - bucket.updated_s)
-        grown = bucket.tokens + (
-            elapsed_s * customer.tokens_per_s * heard_share
-        )
-        bucket.tokens = min(customer.burst_tokens, grown)
-        bucket.updated_s = now_s
-        return bucket
+    def _window(self, customer: KeyHolder, now_s: float) -> Window:
+        limit = customer.tokens_per_s * WINDOW_S + customer.burst_tokens
+        window = self._windows.setdefault(customer.name, Window(limit))
+        if limit < window.limit_tokens:
+            # What ran under the limit before does not count against this.
+            window.taken.clear()
+            window.used_tokens = 0.0
+        window.limit_tokens = limit
+        window.drop_old(now_s)
+        return window
--- a/wigeonfall/policy/waiting.py
+++ b/wigeonfall/policy/waiting.py
@@ -17,7 +17,9 @@
 
 import attrs
 
+from .room import Bounds
 from .room import Rooms
+from .room import Size
 from .room import TargetRoom
 
 PATIENCE_LEAST_S = 2.0  # published patience of callers of streams
@@ -40,8 +42,10 @@
         rank: urgency; 0 goes first.
         returned: whether its caller was refused before.
         arrived_s: arrival, on the monotonic clock.
-        goal_s: time by which it should be sent to meet its goal.
+        goal_s: time by which its first event is due.
+        patience_s: time at which its caller leaves without one.
         give_up_s: time at which waiting has no more sense.
+        size: what it asks of a target.
         suits: whether a target may get it.
     """
 
@@ -50,10 +54,24 @@
     returned: bool
     arrived_s: float
     goal_s: float
+    patience_s: float
     give_up_s: float
+    size: Size = Size()
     suits: Callable[[str], bool] = lambda _name: True
 
 
+def patience_s(goal_s: float, pause_s: float) -> float:
+    """Return how long callers of streams wait for a first event.
+
+    Args:
+        goal_s: time in which the first event is due.
+        pause_s: longest pause between events.
+    """
+    return max(
+        PATIENCE_LEAST_S, PATIENCE_GOALS * goal_s, PATIENCE_PAUSES * pause_s
+    )
+
+
 def wait_limit_s(
     streaming: bool,
     goal_s: float,
@@ -70,10 +88,8 @@
     """
     if not streaming:
         return max(0.0, PLAIN_WAIT_SHARE * left_s - ANSWER_MARGIN_S)
-    patience_s = max(
-        PATIENCE_LEAST_S, PATIENCE_GOALS * goal_s, PATIENCE_PAUSES * pause_s
-    )
-    return max(0.0, min(WAIT_SHARE * patience_s, left_s - ANSWER_MARGIN_S))
+    most_s = WAIT_SHARE * patience_s(goal_s, pause_s)
+    return max(0.0, min(most_s, left_s - ANSWER_MARGIN_S))
 
 
 def retry_after_s(
@@ -166,12 +182,13 @@
             if not self._may_take(wish, peers_waiting):
                 return
             suitable = [r for r in rooms if wish.suits(r.target.name)]
-            chosen = self._rooms.choose(suitable, now_s)
+            bounds = Bounds(wish.goal_s - now_s, wish.patience_s - now_s)
+            chosen = self._rooms.choose(suitable, wish.size, bounds, now_s)
             if chosen is None:
                 continue
             del self._wishes[wish.id]
             self._count_place(peers_waiting)
-            self._rooms.sent(chosen.target.name)
+            self._rooms.sent(chosen.target.name, wish.size)
             yield wish, chosen
         self._own_places = 0
 
@@ -209,5 +226,5 @@
 
 
 def _order(wish: Wish, now_s: float) -> tuple[int, bool, float]:
-    late = now_s > wish.goal_s and not wish.returned
+    late = now_s > wish.goal_s - ANSWER_MARGIN_S and not wish.returned
     return wish.rank, late, wish.arrived_s
