--- a/wigeonfall/forwarding/path.py
+++ b/wigeonfall/forwarding/path.py
@@ -190,17 +190,23 @@
         now_s = time.monotonic()
         left_s = work.deadline_s - now_s
         route = work.route
+        returned = self._returned(work) or progress.sent > 0
         wait_s = waiting.wait_limit_s(
-            route.streaming, route.answer_goal_s, route.pace_goal_s, left_s
+            route.streaming,
+            route.answer_goal_s,
+            route.pace_goal_s,
+            left_s,
+            returned,
         )
         self._sequence += 1
         wish = waiting.Wish(
             id=f'{work.id}/{self._sequence}',
             rank=work.rank,
-            returned=self._returned(work) or progress.sent > 0,
+            returned=returned,
             arrived_s=work.call.arrived_s,
             goal_s=work.call.arrived_s + route.answer_goal_s,
             patience_s=self._patience_at_s(work),
+            deadline_s=work.deadline_s,
             give_up_s=now_s + wait_s,
             size=work.size,
             suits=lambda name: (
@@ -231,7 +237,7 @@
         now_s = time.monotonic()
         if now_s >= work.deadline_s:
             return False
-        if result.outcome is Outcome.NOT_RUN:
+        if result.outcome in (Outcome.NOT_RUN, Outcome.NOT_CONNECTED):
             progress.refusals += 1
             if progress.refusals > RESENDS:
                 return False
--- a/wigeonfall/forwarding/work.py
+++ b/wigeonfall/forwarding/work.py
@@ -16,6 +16,7 @@
 from .callers import Headers
 from .dialect import Dialect
 
+RANKS = 16  # routes' ranks within a customer's rank
 _CONNECTION_HEADERS = frozenset(
     {
         b'connection',
@@ -43,7 +44,7 @@
         route: its route.
         customer: its customer, None on an anonymous route.
         service: service that answers it.
-        rank: urgency; 0 goes first.
+        rank: urgency, the customer's before the route's; 0 goes first.
         tokens: tokens that it counts against the customer's limit.
         size: what it asks of the target.
         deadline_s: end of the caller's time or the route's, on the
@@ -211,9 +212,10 @@
 
 
 def _rank(route: Route, customer: KeyHolder | None) -> int:
+    first = route.rank
     if customer is not None and customer.rank is not None:
-        return customer.rank
-    return route.rank
+        first = customer.rank
+    return first * RANKS + min(route.rank, RANKS - 1)
 
 
 def _tokens(customer: KeyHolder | None, prompt: int, answer: int) -> float:
--- a/wigeonfall/policy/room.py
+++ b/wigeonfall/policy/room.py
@@ -22,11 +22,13 @@
 
 DEFAULT_SLOTS = 8
 BASE_TOKENS = 5000.0  # a first event costs this even without a prompt
+PROBING_REQUESTS = 1  # at a target whose connections broke
 UNSEEN_REQUESTS = 2  # at a target of which nothing is known
 FAILURE_GAIN = 0.15  # weight of a new outcome in an average
 FAR_COST = 0.03  # crossing data centres
 FAILURE_COST = 4.0
 ANSWER_SHARE = 0.5  # of the time of an answer, against that of a prompt
+HOLD_UP_SHARE = 0.3  # of the time that a prompt holds up another stream
 LATE_COST = 3.0  # of an answer that would miss its goal
 SUSPECT_S = 0.5  # first pause after a broken connection
 SUSPECT_MOST_S = 4.0
@@ -117,6 +119,8 @@
     @property
     def free(self) -> float:
         """Requests that the target still has room for."""
+        if self.suspicions:
+            return PROBING_REQUESTS - self.own
         return self.limit - self.outstanding
 
     def reading_tokens(self) -> float:
@@ -144,10 +148,12 @@
     Attributes:
         goal_s: time left until the goal is missed.
         patience_s: time left until the caller leaves.
+        left_s: time left for the whole answer.
     """
 
     goal_s: float
     patience_s: float
+    left_s: float
 
 
 class Rooms:
@@ -242,6 +248,7 @@
         room = self._rooms.get(name)
         if room is not None:
             pace_s = first_s / (BASE_TOKENS + tokens)
+            room.suspicions = 0
             room.reading_s.observe(pace_s, now_s)
 
     def observed_answer(
@@ -251,7 +258,6 @@
         room = self._rooms.get(name)
         if room is None:
             return
-        room.suspicions = 0
         room.failures -= FAILURE_GAIN * room.failures
         if size.answer_tokens:
             pace_s = answer_s / size.answer_tokens
@@ -332,8 +338,13 @@
         bounds: Bounds,
         now_s: float,
     ) -> float:
-        cost = first_s + ANSWER_SHARE * room.answer_s(size, now_s)
-        if first_s > bounds.goal_s:
+        answer_s = room.answer_s(size, now_s)
+        cost = first_s + ANSWER_SHARE * answer_s
+        # A long prompt holds up all that run there.
+        own_s = room.first_s(Size(size.prompt_tokens), now_s)
+        alone_s = room.first_s(Size(), now_s)
+        cost += HOLD_UP_SHARE * room.outstanding * (own_s - alone_s)
+        if first_s > bounds.goal_s or first_s + answer_s > bounds.left_s:
             cost *= LATE_COST
         cost *= 1 + FAILURE_COST * room.failures
         if room.target.data_center != self._data_center:
--- a/wigeonfall/policy/waiting.py
+++ b/wigeonfall/policy/waiting.py
@@ -2,9 +2,10 @@
 
 Load patterns: a burst asks for more than all targets run at once; callers
 leave a stream that shows nothing for a few seconds, and come back once after a
-refusal. So requests wait in order of urgency, those that can still meet their
-goal before those that cannot, and one that came back before one that is new.
-Who waited as long as its caller's patience allows is refused in time, with a
+refusal. Served in order of arrival, all would be late once there is a queue.
+So requests wait in order of urgency, and within it those that can still meet
+their goal go first, then those that came back, then the others. The least
+urgent get a part of the places, so that they do not starve. Who waited as long as its caller's patience allows is refused in time, with a
 delay after which there should be room. When peers wait for the same targets,
 each instance takes its part of what is free.
 """
@@ -27,6 +28,9 @@
 PATIENCE_PAUSES = 8.0  # in pauses between events
 ANSWER_MARGIN_S = 0.25  # for the way to the target and back
 WAIT_SHARE = 0.6  # of patience; the target needs the rest
+LAST_WAIT_SHARE = 0.85  # of patience, for callers that will not come back
+LAST_TURN = 4  # each fourth place goes to the least urgent that wait
+WAY_S = 0.02  # to the target and back to the caller
 PLAIN_WAIT_SHARE = 0.6  # of the time left, for plain services
 RETRY_SHARE = 1 / 3  # callers honour a delay up to this share of their time
 RETRY_LEAST_S = 0.3
@@ -44,6 +48,7 @@
         arrived_s: arrival, on the monotonic clock.
         goal_s: time by which its first event is due.
         patience_s: time at which its caller leaves without one.
+        deadline_s: time by which the answer must be whole.
         give_up_s: time at which waiting has no more sense.
         size: what it asks of a target.
         suits: whether a target may get it.
@@ -55,6 +60,7 @@
     arrived_s: float
     goal_s: float
     patience_s: float
+    deadline_s: float
     give_up_s: float
     size: Size = Size()
     suits: Callable[[str], bool] = lambda _name: True
@@ -77,6 +83,7 @@
     goal_s: float,
     pause_s: float,
     left_s: float,
+    returned: bool = False,
 ) -> float:
     """Return how long a request may wait for a target.
 
@@ -85,10 +92,12 @@
         goal_s: time to the whole answer or the first event.
         pause_s: longest pause between events.
         left_s: time until the deadline of the request.
+        returned: whether its caller was refused before.
     """
     if not streaming:
         return max(0.0, PLAIN_WAIT_SHARE * left_s - ANSWER_MARGIN_S)
-    most_s = WAIT_SHARE * patience_s(goal_s, pause_s)
+    share = LAST_WAIT_SHARE if returned else WAIT_SHARE
+    most_s = share * patience_s(goal_s, pause_s)
     return max(0.0, min(most_s, left_s - ANSWER_MARGIN_S))
 
 
@@ -129,6 +138,7 @@
         self._own_places = 0
         self._lottery_s = 0.0
         self._won = 0
+        self._turn = 0
 
     def __len__(self) -> int:
         return len(self._wishes)
@@ -176,22 +186,44 @@
         """
         rooms = self._rooms.of(names)
         self._hold_lottery(rooms, peers_waiting, now_s)
-        for wish in sorted(
-            self._wishes.values(), key=lambda w: _order(w, now_s)
-        ):
+        for wish in self._in_order(rooms, now_s):
             if not self._may_take(wish, peers_waiting):
                 return
             suitable = [r for r in rooms if wish.suits(r.target.name)]
-            bounds = Bounds(wish.goal_s - now_s, wish.patience_s - now_s)
+            bounds = Bounds(
+                wish.goal_s - now_s,
+                wish.patience_s - now_s,
+                wish.deadline_s - now_s,
+            )
             chosen = self._rooms.choose(suitable, wish.size, bounds, now_s)
             if chosen is None:
                 continue
             del self._wishes[wish.id]
+            self._turn += 1
             self._count_place(peers_waiting)
             self._rooms.sent(chosen.target.name, wish.size)
             yield wish, chosen
         self._own_places = 0
 
+    def _in_order(self, rooms: list[TargetRoom], now_s: float) -> list[Wish]:
+        """Return the wishes, the first to be placed first."""
+        if not rooms:
+            return list(self._wishes.values())
+
+        def order(wish: Wish) -> tuple[int, int, float]:
+            first_s = min(room.first_s(wish.size, now_s) for room in rooms)
+            in_time = now_s + first_s + WAY_S <= wish.goal_s
+            late = 0 if in_time else 1 if wish.returned else 2
+            return wish.rank, late, wish.arrived_s
+
+        ordered = sorted(self._wishes.values(), key=order)
+        if self._turn % LAST_TURN == LAST_TURN - 1:
+            last = ordered[-1].rank
+            first = next(w for w in ordered if w.rank == last)
+            ordered.remove(first)
+            ordered.insert(0, first)
+        return ordered
+
     def _may_take(self, wish: Wish, peers_waiting: Mapping[int, int]) -> bool:
         rivals = sum(n for r, n in peers_waiting.items() if r <= wish.rank)
         if not rivals:
@@ -223,8 +255,3 @@
         free = sum(max(0, int(r.free)) for r in rooms) - above
         part = max(0.0, free * mine / max(1, mine + same))
         self._won = int(part) + (self._draw() < part - int(part))
-
-
-def _order(wish: Wish, now_s: float) -> tuple[int, bool, float]:
-    late = now_s > wish.goal_s - ANSWER_MARGIN_S and not wish.returned
-    return wish.rank, late, wish.arrived_s
