--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -271,11 +271,15 @@
                 return item
         return None
 
-    def _take_tokens(self, work: Work, now_s: float) -> float | None:
+    def _take_tokens(
+        self, work: Work, returned: bool, now_s: float
+    ) -> float | None:
         if work.customer is None:
             return None
         share = self._peers.heard_share(now_s)
-        return self._quotas.take(work.customer, work.tokens, share, now_s)
+        return self._quotas.take(
+            work.customer, work.tokens, returned, share, now_s
+        )
 
     def _give_tokens_back(self, work: Work) -> None:
         if work.customer is not None:
--- a/wigeonfall/forwarding/path.py
+++ b/wigeonfall/forwarding/path.py
@@ -56,7 +56,7 @@
     names: Dialect
     placing: Placing
     attempts: Attempts
-    take_tokens: Callable[[Work, float], float | None]
+    take_tokens: Callable[[Work, bool, float], float | None]
     give_tokens_back: Callable[[Work], None]
     suits: Callable[[Work, str], bool]
     resend: Callable[[str, float], bool]
@@ -118,7 +118,8 @@
             return
         work = matched.ok_value
         now_s = time.monotonic()
-        delay_s = self._parts.take_tokens(work, now_s)
+        returned = self._returned(work)
+        delay_s = self._parts.take_tokens(work, returned, now_s)
         if delay_s is not None:
             self._refuse(
                 work,
--- a/wigeonfall/policy/token_quota.py
+++ b/wigeonfall/policy/token_quota.py
@@ -5,7 +5,8 @@
 A limit is what may run in any window of a given length: the rate times the
 window, and the burst. Each instance counts what it admitted and what its peers
 say that they admitted. The part of the limit that belongs to peers which are
-not heard is left to them.
+not heard is left to them. A caller that is refused is told when there will be
+room, and that room is kept for it.
 """
 
 import collections
@@ -16,6 +17,7 @@
 
 WINDOW_S = 8.0  # length of the published window
 WAIT_LEAST_S = 0.2
+KEPT_S = 1.5  # that room is kept for a caller that was told when to come
 
 
 @attrs.frozen
@@ -40,12 +42,15 @@
         used_tokens: tokens in the window.
         taken: when they were admitted.
         own_tokens: all that this instance ever admitted.
+        promised: tokens that refused callers were told to come back for, by
+            the time until which they are kept.
     """
 
     limit_tokens: float
     used_tokens: float = 0.0
     taken: collections.deque[Taken] = attrs.field(factory=collections.deque)
     own_tokens: float = 0.0
+    promised: collections.deque[Taken] = attrs.field(factory=collections.deque)
 
     def add(self, tokens: float, now_s: float) -> None:
         """Count tokens that were admitted or given back."""
@@ -56,6 +61,12 @@
         """Forget what the window has passed."""
         while self.taken and self.taken[0].at_s <= now_s - WINDOW_S:
             self.used_tokens -= self.taken.popleft().tokens
+        while self.promised and self.promised[0].at_s <= now_s:
+            self.promised.popleft()
+
+    def promised_tokens(self) -> float:
+        """Return the tokens that are kept for callers."""
+        return sum(promise.tokens for promise in self.promised)
 
     def room_s(self, missing_tokens: float, now_s: float) -> float:
         """Return the time until that many tokens leave the window."""
@@ -78,6 +89,7 @@
         self,
         customer: KeyHolder,
         tokens: float,
+        returned: bool,
         heard_share: float,
         now_s: float,
     ) -> float | None:
@@ -86,6 +98,7 @@
         Args:
             customer: the customer with its present limit.
             tokens: tokens of the request.
+            returned: whether its caller was refused before.
             heard_share: part of the instances that are heard, this included.
             now_s: present time on the monotonic clock.
 
@@ -97,8 +110,16 @@
         window = self._window(customer, now_s)
         most = window.limit_tokens * heard_share
         missing = window.used_tokens + tokens - most
+        if not returned:
+            missing += window.promised_tokens()
         if missing > 0 and window.used_tokens > 0:
-            return window.room_s(missing, now_s)
+            room_s = window.room_s(missing, now_s)
+            if not returned:
+                kept = Taken(now_s + room_s + KEPT_S, tokens)
+                window.promised.append(kept)
+            return room_s
+        if returned and window.promised:
+            window.promised.popleft()
         window.add(tokens, now_s)
         window.own_tokens += tokens
         return None
--- a/wigeonfall/policy/waiting.py
+++ b/wigeonfall/policy/waiting.py
@@ -5,9 +5,10 @@
 refusal. Served in order of arrival, all would be late once there is a queue.
 So requests wait in order of urgency, and within it those that can still meet
 their goal go first, then those that came back, then the others. The least
-urgent get a part of the places, so that they do not starve. Who waited as long as its caller's patience allows is refused in time, with a
-delay after which there should be room. When peers wait for the same targets,
-each instance takes its part of what is free.
+urgent get a part of the places, so that they do not starve. Who waited as long
+as its caller's patience allows is refused in time, with a delay after which
+there should be room. When peers wait for the same targets, each instance takes
+its part of what is free.
 """
 
 from collections.abc import Callable
