Take a silent peer to go on as before in token limits

Cause: a limit was divided evenly when peers fell silent, so a cut instance refused customers below their limit though its peers had few of their requests. Change: what each peer used in the last window stays counted while it is silent; refusals over a limit log what was used and allowed.

--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -175,6 +175,7 @@
         """Drop what is old."""
         self._connections.close_idle(now_s)
         self._peers.drop_old(now_s)
+        self._quotas.forget(self._peers.known_names(now_s))
         self._refresh_targets()
 
     def _path_parts(self) -> path_module.PathParts:
@@ -273,12 +274,15 @@
 
     def _take_tokens(
         self, work: Work, returned: bool, now_s: float
-    ) -> float | None:
+    ) -> token_quota.OverLimit | None:
         if work.customer is None:
             return None
-        share = self._peers.heard_share(now_s)
         return self._quotas.take(
-            work.customer, work.tokens, returned, share, now_s
+            work.customer,
+            work.tokens,
+            returned,
+            self._peers.heard_names(now_s),
+            now_s,
         )
 
     def _give_tokens_back(self, work: Work) -> None:
--- a/wigeonfall/forwarding/path.py
+++ b/wigeonfall/forwarding/path.py
@@ -13,6 +13,7 @@
 from ..events import Event
 from ..policy import resend_budget
 from ..policy import routing
+from ..policy.token_quota import OverLimit
 from ..policy import waiting
 from ..recorder import Record
 from .attempt import Attempts
@@ -43,7 +44,7 @@
         names: header names.
         placing: waits for targets.
         attempts: what is needed to send requests.
-        take_tokens: takes a request's tokens; returns None or a delay.
+        take_tokens: takes a request's tokens; returns None if it may run.
         give_tokens_back: returns them if the request did not run.
         version_of: whether a target may get a request, by their names.
         resend: whether the budget allows another target, by service.
@@ -56,7 +57,7 @@
     names: Dialect
     placing: Placing
     attempts: Attempts
-    take_tokens: Callable[[Work, bool, float], float | None]
+    take_tokens: Callable[[Work, bool, float], OverLimit | None]
     give_tokens_back: Callable[[Work], None]
     suits: Callable[[Work, str], bool]
     resend: Callable[[str, float], bool]
@@ -119,15 +120,16 @@
         work = matched.ok_value
         now_s = time.monotonic()
         returned = self._returned(work)
-        delay_s = self._parts.take_tokens(work, returned, now_s)
-        if delay_s is not None:
+        over = self._parts.take_tokens(work, returned, now_s)
+        if over is not None:
             self._refuse(
                 work,
                 reply,
                 Progress(),
                 http.HTTPStatus.TOO_MANY_REQUESTS,
-                'customer over its limit',
-                delay_s,
+                f'customer over its limit: {work.tokens:.0f} more than'
+                f' {over.used_tokens:.0f} of {over.limit_tokens:.0f} tokens',
+                over.delay_s,
             )
             return
         self._parts.requested(work.service, now_s)
--- a/wigeonfall/forwarding/peers.py
+++ b/wigeonfall/forwarding/peers.py
@@ -174,10 +174,13 @@
             if now_s - peer.heard_s <= HEARD_S
         ]
 
-    def heard_share(self, now_s: float) -> float:
-        """Return the part of the instances that are heard, this included."""
-        heard = len(self.heard(now_s))
-        return (1 + heard) / (1 + len(self._known(now_s)))
+    def heard_names(self, now_s: float) -> frozenset[str]:
+        """Return the names of the peers that were heard lately."""
+        return frozenset(p.message.name for p in self.heard(now_s))
+
+    def known_names(self, now_s: float) -> frozenset[str]:
+        """Return the names of all peers that are not forgotten yet."""
+        return frozenset(p.message.name for p in self._known(now_s))
 
     def instances(self, now_s: float) -> int:
         """Return the number of instances, this one included."""
--- a/wigeonfall/policy/token_quota.py
+++ b/wigeonfall/policy/token_quota.py
@@ -4,23 +4,27 @@
 limit must not take the room of the others, at whichever instance it arrives.
 A limit is what may run in any window of a given length: the rate times the
 window, and the burst. Each instance counts what it admitted and what its peers
-say that they admitted. The part of the limit that belongs to peers which are
-not heard is left to them. A caller that is refused is told when there will be
-room, and that room is kept for it.
+say that they admitted. A peer that falls silent is taken to go on as before.
+A caller that is refused is told when there will be room, and that room is kept
+for it.
 """
 
 import collections
+from collections.abc import Collection
+from collections.abc import Iterable
+import heapq
 
 import attrs
 
 from ..model.routing import KeyHolder
 
 WINDOW_S = 8.0  # length of the published window
+BIN_S = 0.1  # tokens of this time are counted together
 WAIT_LEAST_S = 0.2
 KEPT_S = 1.5  # that room is kept for a caller that was told when to come
 
 
-@attrs.frozen
+@attrs.define
 class Taken:
     """Tokens that were admitted at one time.
 
@@ -35,42 +39,90 @@
 
 @attrs.define
 class Window:
-    """What a customer used lately.
+    """What one instance admitted lately for a customer.
 
     Attributes:
-        limit_tokens: most tokens in a window, as last seen.
         used_tokens: tokens in the window.
         taken: when they were admitted.
-        own_tokens: all that this instance ever admitted.
-        promised: tokens that refused callers were told to come back for, by
-            the time until which they are kept.
+        all_tokens: all that it ever admitted.
     """
 
-    limit_tokens: float
     used_tokens: float = 0.0
     taken: collections.deque[Taken] = attrs.field(factory=collections.deque)
-    own_tokens: float = 0.0
-    promised: collections.deque[Taken] = attrs.field(factory=collections.deque)
+    all_tokens: float = 0.0
 
     def add(self, tokens: float, now_s: float) -> None:
         """Count tokens that were admitted or given back."""
-        self.taken.append(Taken(now_s, tokens))
+        self.all_tokens += tokens
         self.used_tokens += tokens
+        if self.taken and now_s - self.taken[-1].at_s < BIN_S:
+            # The later time keeps them in the window long enough.
+            self.taken[-1].at_s = now_s
+            self.taken[-1].tokens += tokens
+        else:
+            self.taken.append(Taken(now_s, tokens))
 
     def drop_old(self, now_s: float) -> None:
         """Forget what the window has passed."""
         while self.taken and self.taken[0].at_s <= now_s - WINDOW_S:
             self.used_tokens -= self.taken.popleft().tokens
-        while self.promised and self.promised[0].at_s <= now_s:
-            self.promised.popleft()
+
+    def clear(self) -> None:
+        """Begin a new window."""
+        self.taken.clear()
+        self.used_tokens = 0.0
+
+
+@attrs.define
+class Usage:
+    """What all instances admitted lately for a customer.
+
+    Attributes:
+        limit_tokens: most tokens in a window, as last seen.
+        own: what this instance admitted.
+        peers: what peers admitted, by their names.
+        promised: tokens that refused callers were told to come back for, by
+            the time until which they are kept.
+    """
+
+    limit_tokens: float = 0.0
+    own: Window = attrs.field(factory=Window)
+    peers: dict[str, Window] = attrs.field(factory=dict)
+    promised: collections.deque[Taken] = attrs.field(factory=collections.deque)
+
+    def used_tokens(self) -> float:
+        """Return the tokens that all instances used."""
+        peers = sum(window.used_tokens for window in self.peers.values())
+        return self.own.used_tokens + peers
 
     def promised_tokens(self) -> float:
         """Return the tokens that are kept for callers."""
         return sum(promise.tokens for promise in self.promised)
 
+    def set_limit(self, limit_tokens: float) -> None:
+        """Take the present limit."""
+        if limit_tokens < self.limit_tokens:
+            # What ran under the limit before does not count against this.
+            for window in (self.own, *self.peers.values()):
+                window.clear()
+        self.limit_tokens = limit_tokens
+
+    def drop_old(self, heard: Collection[str], now_s: float) -> None:
+        """Forget what the window has passed, but for silent peers."""
+        self.own.drop_old(now_s)
+        for name, window in self.peers.items():
+            if name in heard:
+                window.drop_old(now_s)
+        while self.promised and self.promised[0].at_s <= now_s:
+            self.promised.popleft()
+
     def room_s(self, missing_tokens: float, now_s: float) -> float:
         """Return the time until that many tokens leave the window."""
-        for taken in self.taken:
+        windows = (self.own, *self.peers.values())
+        merged = heapq.merge(
+            *(window.taken for window in windows), key=lambda t: t.at_s
+        )
+        for taken in merged:
             missing_tokens -= taken.tokens
             if missing_tokens <= 0:
                 left_s = taken.at_s + WINDOW_S - now_s
@@ -78,67 +130,83 @@
         return WINDOW_S
 
 
+@attrs.frozen
+class OverLimit:
+    """Why a customer gets no tokens now.
+
+    Attributes:
+        delay_s: time until there is room.
+        used_tokens: tokens in the window.
+        limit_tokens: most tokens in a window.
+    """
+
+    delay_s: float
+    used_tokens: float
+    limit_tokens: float
+
+
 class TokenQuotas:
-    """The windows of all customers, as one instance sees them."""
+    """The usage of all customers, as one instance sees it."""
 
     def __init__(self) -> None:
-        self._windows: dict[str, Window] = {}
-        self._heard: dict[tuple[str, int], dict[str, float]] = {}
+        self._usages: dict[str, Usage] = {}
+        self._incarnations: dict[str, int] = {}
 
     def take(
         self,
         customer: KeyHolder,
         tokens: float,
         returned: bool,
-        heard_share: float,
+        heard: Collection[str],
         now_s: float,
-    ) -> float | None:
+    ) -> OverLimit | None:
         """Take tokens for a request.
 
         Args:
             customer: the customer with its present limit.
             tokens: tokens of the request.
             returned: whether its caller was refused before.
-            heard_share: part of the instances that are heard, this included.
+            heard: names of the peers that are heard.
             now_s: present time on the monotonic clock.
 
         Returns:
-            None if they were taken, else the seconds until there is room.
+            None if they were taken, else when there is room.
         """
         if customer.tokens_per_s <= 0:
             return None
-        window = self._window(customer, now_s)
-        most = window.limit_tokens * heard_share
-        missing = window.used_tokens + tokens - most
+        usage = self._usages.setdefault(customer.name, Usage())
+        limit = customer.tokens_per_s * WINDOW_S + customer.burst_tokens
+        usage.set_limit(limit)
+        usage.drop_old(heard, now_s)
+        used = usage.used_tokens()
+        missing = used + tokens - limit
         if not returned:
-            missing += window.promised_tokens()
+            missing += usage.promised_tokens()
         # One that is larger than the whole limit waits for an empty window.
-        oversized = tokens > most and window.used_tokens <= 0
+        oversized = tokens > limit and used <= 0
         if missing > 0 and not oversized:
-            room_s = window.room_s(missing, now_s)
+            delay_s = usage.room_s(missing, now_s)
             if not returned:
-                kept = Taken(now_s + room_s + KEPT_S, tokens)
-                window.promised.append(kept)
-            return room_s
-        if returned and window.promised:
-            window.promised.popleft()
-        window.add(tokens, now_s)
-        window.own_tokens += tokens
+                kept = Taken(now_s + delay_s + KEPT_S, tokens)
+                usage.promised.append(kept)
+            return OverLimit(delay_s, used, limit)
+        if returned and usage.promised:
+            usage.promised.popleft()
+        usage.own.add(tokens, now_s)
         return None
 
     def give_back(self, customer: str, tokens: float, now_s: float) -> None:
         """Return the tokens of a request that did not run."""
-        window = self._windows.get(customer)
-        if window is not None:
-            window.add(-tokens, now_s)
-            window.own_tokens -= tokens
+        usage = self._usages.get(customer)
+        if usage is not None:
+            usage.own.add(-tokens, now_s)
 
     def taken(self) -> dict[str, float]:
         """Return what this instance admitted so far, by customer."""
         return {
-            name: round(window.own_tokens)
-            for name, window in self._windows.items()
-            if window.own_tokens
+            name: round(usage.own.all_tokens)
+            for name, usage in self._usages.items()
+            if usage.own.all_tokens
         }
 
     def hear(
@@ -149,28 +217,22 @@
         now_s: float,
     ) -> None:
         """Count what a peer admitted since it was last heard."""
-        before = self._heard.get((peer, incarnation))
-        if before is None:
-            self._heard = {
-                key: value
-                for key, value in self._heard.items()
-                if key[0] != peer
-            }
-            before = {}
+        if self._incarnations.get(peer) != incarnation:
+            self._incarnations[peer] = incarnation
+            for usage in self._usages.values():
+                if peer in usage.peers:
+                    usage.peers[peer].all_tokens = 0.0
         for name, total in taken.items():
-            new = total - before.get(name, 0.0)
+            usage = self._usages.setdefault(name, Usage())
+            window = usage.peers.setdefault(peer, Window())
+            new = total - window.all_tokens
             if new:
-                window = self._windows.setdefault(name, Window(0.0))
                 window.add(new, now_s)
-        self._heard[peer, incarnation] = taken
 
-    def _window(self, customer: KeyHolder, now_s: float) -> Window:
-        limit = customer.tokens_per_s * WINDOW_S + customer.burst_tokens
-        window = self._windows.setdefault(customer.name, Window(limit))
-        if limit < window.limit_tokens:
-            # What ran under the limit before does not count against this.
-            window.taken.clear()
-            window.used_tokens = 0.0
-        window.limit_tokens = limit
-        window.drop_old(now_s)
-        return window
+    def forget(self, known: Iterable[str]) -> None:
+        """Forget the peers that are known no more."""
+        names = frozenset(known)
+        for usage in self._usages.values():
+            for name in tuple(usage.peers):
+                if name not in names:
+                    del usage.peers[name]
