Explain a request from the logs, and never wait for a reader of the logs

Cause: on-call engineers have logs and metrics alone; a reader of standard output that stopped would have stopped the instance with it.

--- a/tests/test_recorder.py
+++ b/tests/test_recorder.py
@@ -62,10 +62,11 @@
     logger = logging.getLogger('wigeonfall')
     before = logger.handlers, logger.level, logger.propagate
     try:
-        recorder.log_to_stdout('WARNING')
+        lines = recorder.log_to_stdout('WARNING')
         made = recorder.Recorder('z1', clock.HybridClock())
         made.record(Event.PEER_REACHABLE, peer='a')
         made.record(Event.PEER_UNREACHABLE, peer='b')
+        lines.stop()
     finally:
         logger.handlers, level, logger.propagate = before
         logger.setLevel(level)
--- a/wigeonfall/cli.py
+++ b/wigeonfall/cli.py
@@ -9,6 +9,7 @@
 import typer
 
 from . import errors
+from . import explain
 from . import ini
 from . import recorder
 from . import settings as settings_module
@@ -47,13 +48,16 @@
     )
     if isinstance(configuration, Err):
         _fail(configuration.err_value)
-    recorder.log_to_stdout(process_settings.log.level)
+    lines = recorder.log_to_stdout(process_settings.log.level)
     try:
         made = assembly.make_process(process_settings, configuration.ok_value)
     except errors.WigeonfallError as error:
         typer.echo(str(error), err=True)
         raise typer.Exit(ExitCode.FAULT) from error
-    process.run(made)
+    try:
+        process.run(made)
+    finally:
+        lines.stop()
 
 
 @app.command('timeline')
@@ -90,6 +94,37 @@
             typer.echo(timeline.describe(entry))
 
 
+@app.command('explain')
+def explain_request(
+    request_id: Annotated[
+        str, typer.Argument(help='Identifier that the caller gave.')
+    ],
+    files: Annotated[
+        list[pathlib.Path],
+        typer.Argument(help='Log files of the instances; - reads the input.'),
+    ],
+    output: Annotated[Output, typer.Option(help='Form of the output.')] = (
+        Output.TABLE
+    ),
+) -> None:
+    """Show what became of one request, and why."""
+    try:
+        read = [timeline.read_log(path) for path in files]
+    except timeline.TimelineError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(ExitCode.UNREACHABLE) from error
+    story = explain.tell(tuple(timeline.merge(read)), request_id)
+    if output is Output.JSON:
+        entries = [recorder.to_json(entry) for entry in story.entries]
+        typer.echo(json.dumps({'cause': story.cause, 'events': entries}))
+    else:
+        for entry in story.entries:
+            typer.echo(timeline.describe(entry))
+        typer.echo(f'{request_id}: {story.cause}')
+    if not story.entries:
+        raise typer.Exit(ExitCode.UNREACHABLE)
+
+
 @app.command()
 def version() -> None:
     """Print the version."""
--- a/wigeonfall/events.py
+++ b/wigeonfall/events.py
@@ -19,6 +19,7 @@
     SETTINGS_RELOADED = (105, logging.INFO, 'settings read again')
     SETTINGS_REFUSED = (106, logging.ERROR, 'settings cannot be used')
     CLOCK_PAUSED = (107, logging.WARNING, 'process stood still')
+    LOG_LINES_DROPPED = (109, logging.WARNING, 'log lines dropped')
     LISTEN_FAILED = (108, logging.ERROR, 'address cannot be served')
 
     REQUEST_ANSWERED = (201, logging.INFO, 'request answered')
@@ -32,6 +33,7 @@
     REQUEST_TURNED_AWAY = (208, logging.INFO, 'request turned away')
     CALL_REJECTED = (209, logging.INFO, 'call rejected')
     CALLER_LEFT = (210, logging.INFO, 'caller left')
+    REQUEST_PLACED = (211, logging.INFO, 'request placed')
 
     ORDER_CLAIMED = (301, logging.INFO, 'order claimed')
     ORDER_DONE = (302, logging.INFO, 'order done')
--- a/wigeonfall/forwarding/path.py
+++ b/wigeonfall/forwarding/path.py
@@ -170,6 +170,7 @@
                 return
             progress.target = place.target.name
             progress.sent += 1
+            self._note_place(work, place)
             progress.repeatable = (
                 work.route.repeatable
                 and progress.runs + 1 < work.route.attempts_limit
@@ -254,6 +255,20 @@
             return True
         return self._parts.resend(work.service, now_s)
 
+    def _note_place(self, work: Work, place: Place) -> None:
+        index = self._parts.index()
+        self._parts.record(
+            Event.REQUEST_PLACED,
+            request_id=work.id,
+            service=work.service,
+            target=place.target.name,
+            waited_ms=round(place.waited_s * 1000),
+            outstanding=place.outstanding,
+            reading_tokens=round(place.reading_tokens),
+            peers=place.peers,
+            table_version=index.table.version if index else 0,
+        )
+
     def _note_answer(
         self, work: Work, progress: Progress, result: AttemptResult
     ) -> None:
--- a/wigeonfall/forwarding/placing.py
+++ b/wigeonfall/forwarding/placing.py
@@ -25,6 +25,8 @@
         target: the target.
         waited_s: time that the request waited.
         reading_tokens: prompts that the target reads first, this included.
+        outstanding: requests of all instances there, this included.
+        peers: instances whose load there is known.
         size: what the request asks of the target.
         reading: whether the prompt is not known to be read.
     """
@@ -32,6 +34,8 @@
     target: Target
     waited_s: float
     reading_tokens: float
+    outstanding: int
+    peers: int
     size: Size
     reading: bool = True
 
@@ -130,6 +134,8 @@
                 room.target,
                 now_s - wish.arrived_s,
                 room.reading_tokens(),
+                room.outstanding,
+                len(room.peers),
                 wish.size,
             )
             future = self._futures.get(wish.id)
--- a/wigeonfall/forwarding/process.py
+++ b/wigeonfall/forwarding/process.py
@@ -90,14 +90,17 @@
         _print_faults(read.err_value)
         return 1
     settings = read.ok_value
-    recorder_module.log_to_stdout(settings.log.level)
+    lines = recorder_module.log_to_stdout(settings.log.level)
     recorder = recorder_module.Recorder(
         settings.instance.name, clock.HybridClock()
     )
     registry = prometheus_client.CollectorRegistry()
     record = counting(recorder.record, Metrics(registry))
     instance = Instance(settings, outside, record)
-    asyncio.run(_Life(path, settings, instance, registry).run())
+    try:
+        asyncio.run(_Life(path, settings, instance, registry).run())
+    finally:
+        lines.stop()
     return 0
 
 
--- /dev/null
+++ b/wigeonfall/log_queue.py
@@ -0,0 +1,58 @@
+"""Log lines that are written by a thread, so that no request waits for them.
+
+A reader of standard output that stops reading costs lines, which are counted
+and said, never time.
+"""
+
+from collections.abc import Callable
+import logging
+import queue
+import threading
+
+QUEUED_LINES = 5000  # a few seconds of the busiest load
+STOP_S = 1.0  # that a stop waits for the last lines
+
+Dropped = Callable[[int], None]
+
+
+class LogQueue(logging.Handler):
+    """Hands log records to a thread that writes them.
+
+    Args:
+        handler: writes records.
+        dropped: told how many lines were lost, once there is room again.
+    """
+
+    def __init__(self, handler: logging.Handler, dropped: Dropped) -> None:
+        super().__init__()
+        self._handler = handler
+        self._dropped = dropped
+        self._lost = 0
+        self._queue: queue.Queue[logging.LogRecord | None] = queue.Queue(
+            QUEUED_LINES
+        )
+        self._thread = threading.Thread(target=self._write, daemon=True)
+        self._thread.start()
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Queue a record; never blocks."""
+        try:
+            self._queue.put_nowait(record)
+        except queue.Full:
+            self._lost += 1
+            return
+        if self._lost:
+            lost, self._lost = self._lost, 0
+            self._dropped(lost)
+
+    def stop(self) -> None:
+        """Write what is queued, for a bounded time."""
+        try:
+            self._queue.put(None, timeout=STOP_S)
+        except queue.Full:
+            return
+        self._thread.join(STOP_S)
+
+    def _write(self) -> None:
+        while (record := self._queue.get()) is not None:
+            self._handler.handle(record)
--- a/wigeonfall/recorder.py
+++ b/wigeonfall/recorder.py
@@ -12,6 +12,7 @@
 from pythonjsonlogger import json as json_logging
 
 from . import clock
+from . import log_queue
 from .events import Event
 
 RING_EVENTS = 20_000
@@ -94,13 +95,31 @@
     )
 
 
-def log_to_stdout(level: str) -> None:
-    """Send log records of at least a level to standard output as JSON."""
-    handler = logging.StreamHandler(sys.stdout)
-    handler.setFormatter(
+def log_to_stdout(level: str) -> log_queue.LogQueue:
+    """Send log records of at least a level to standard output as JSON.
+
+    Args:
+        level: name of the level.
+
+    Returns:
+        The queue of lines, to be stopped at the end of the process.
+    """
+    writer = logging.StreamHandler(sys.stdout)
+    writer.setFormatter(
         json_logging.JsonFormatter('%(levelname)s %(message)s')
     )
     logger = logging.getLogger('wigeonfall')
-    logger.handlers = [handler]
+    lines = log_queue.LogQueue(writer, _say_dropped)
+    logger.handlers = [lines]
     logger.setLevel(level)
     logger.propagate = False
+    return lines
+
+
+def _say_dropped(lines: int) -> None:
+    event = Event.LOG_LINES_DROPPED
+    logging.getLogger('wigeonfall').log(
+        event.level,
+        event.message,
+        extra={'event': event.number, 'fields': {'lines': lines}},
+    )
--- a/wigeonfall/timeline.py
+++ b/wigeonfall/timeline.py
@@ -6,6 +6,7 @@
 import heapq
 import json
 import pathlib
+import sys
 
 import attrs
 import urllib3
@@ -53,6 +54,17 @@
         raise TimelineError(f'{path}: {error}') from error
 
 
+def read_log(path: pathlib.Path) -> tuple[Entry, ...]:
+    """Return the events in a file, or of standard input for "-".
+
+    Raises:
+        TimelineError: the file cannot be read.
+    """
+    if str(path) == '-':
+        return tuple(_entries(sys.stdin))
+    return read_file(path)
+
+
 def read_instance(
     address: str, operators_key: str, tls_files: TlsFiles
 ) -> tuple[Entry, ...]:
@@ -126,6 +138,7 @@
 def _entries(lines: Iterable[str]) -> Iterator[Entry]:
     for line in lines:
         try:
-            yield recorder.from_json(json.loads(line))
+            # What collects logs may put words before each line.
+            yield recorder.from_json(json.loads(line[line.find('{') :]))
         except (ValueError, KeyError, TypeError):
             continue
