Let short requests go before what is late or less urgent

Change: a short request that can still meet its goal goes before what is late or less urgent than the most urgent that waits; the turn of the least urgent, which it replaces, is gone.

--- a/wigeonfall/policy/waiting.py
+++ b/wigeonfall/policy/waiting.py
@@ -4,11 +4,12 @@
 leave a stream that shows nothing for a few seconds, and come back once after a
 refusal. Served in order of arrival, all would be late once there is a queue.
 So requests wait in order of urgency, and within it those that can still meet
-their goal go first, then those that came back, then the others. The least
-urgent get a part of the places, so that they do not starve. Who waited as long
-as its caller's patience allows is refused in time, with a delay after which
-there should be room. When peers wait for the same targets, each instance takes
-its part of what is free.
+their goal go first, then those that came back, then the others. Short requests
+that can meet their goal hold up nobody for long: they go before all that is
+late or less urgent than the most urgent that wait. Who waited as long as its
+caller's patience allows is refused in time, with a delay after which there
+should be room. When peers wait for the same targets, each instance takes its
+part of what is free.
 """
 
 from collections.abc import Callable
@@ -30,7 +31,7 @@
 ANSWER_MARGIN_S = 0.25  # for the way to the target and back
 WAIT_SHARE = 0.6  # of patience; the target needs the rest
 LAST_WAIT_SHARE = 0.85  # of patience, for callers that will not come back
-LAST_TURN = 4  # each fourth place goes to the least urgent that wait
+SHORT_S = 0.3  # from sending to the end of a short answer
 WAY_S = 0.02  # to the target and back to the caller
 PLAIN_WAIT_SHARE = 0.6  # of the time left, for plain services
 RETRY_SHARE = 1 / 3  # callers honour a delay up to this share of their time
@@ -38,6 +39,9 @@
 LOTTERY_S = 0.05  # period in which peers hear of each other
 
 
+_IN_TIME, _SHORT, _BACK, _LATE = range(4)
+
+
 @attrs.frozen
 class Wish:
     """A request that wants a target.
@@ -139,7 +143,6 @@
         self._own_places = 0
         self._lottery_s = 0.0
         self._won = 0
-        self._turn = 0
 
     def __len__(self) -> int:
         return len(self._wishes)
@@ -187,9 +190,7 @@
         """
         rooms = self._rooms.of(names)
         self._hold_lottery(rooms, peers_waiting, now_s)
-        ordered = self._in_order(rooms, now_s)
-        while ordered:
-            wish = ordered.pop(self._next_index(ordered))
+        for wish in self._in_order(rooms, now_s):
             if not self._may_take(wish, peers_waiting):
                 return
             suitable = [r for r in rooms if wish.suits(r.target.name)]
@@ -202,29 +203,27 @@
             if chosen is None:
                 continue
             del self._wishes[wish.id]
-            self._turn += 1
             self._count_place(peers_waiting)
             self._rooms.sent(chosen.target.name, wish.size)
             yield wish, chosen
         self._own_places = 0
 
-    def _next_index(self, ordered: list[Wish]) -> int:
-        """Return which of the wishes is to be placed next."""
-        if self._turn % LAST_TURN != LAST_TURN - 1:
-            return 0
-        last = ordered[-1].rank
-        return next(n for n, w in enumerate(ordered) if w.rank == last)
-
     def _in_order(self, rooms: list[TargetRoom], now_s: float) -> list[Wish]:
         """Return the wishes, the first to be placed first."""
         if not rooms:
             return list(self._wishes.values())
 
+        top = min((w.rank for w in self._wishes.values()), default=0)
+
         def order(wish: Wish) -> tuple[int, int, float]:
             first_s = min(room.first_s(wish.size, now_s) for room in rooms)
-            in_time = now_s + first_s + WAY_S <= wish.goal_s
-            late = 0 if in_time else 1 if wish.returned else 2
-            return wish.rank, late, wish.arrived_s
+            if now_s + first_s + WAY_S > wish.goal_s:
+                late = _BACK if wish.returned else _LATE
+                return wish.rank, late, wish.arrived_s
+            answer_s = min(room.answer_s(wish.size, now_s) for room in rooms)
+            if first_s + answer_s <= SHORT_S and wish.rank > top:
+                return top, _SHORT, wish.arrived_s
+            return wish.rank, _IN_TIME, wish.arrived_s
 
         return sorted(self._wishes.values(), key=order)
 
