Order what waits at all instances by one class

Change: urgency, lateness and shortness make one class, by which requests wait and which instances tell each other; short requests in time go first, among themselves by urgency.

--- a/wigeonfall/forwarding/peers.py
+++ b/wigeonfall/forwarding/peers.py
@@ -35,7 +35,7 @@
         sequence: grows with each message of one start.
         address: "host:port" of its datagrams and its snapshot.
         targets: load by target.
-        waiting: waiting requests by service and rank.
+        waiting: waiting requests by service and class.
         taken: tokens taken so far by customer.
         revisions: newest known change by kind of object.
         peers: addresses of the instances that it hears.
--- a/wigeonfall/forwarding/placing.py
+++ b/wigeonfall/forwarding/placing.py
@@ -65,7 +65,7 @@
         self._futures: dict[str, asyncio.Future[Place | None]] = {}
 
     def waiting(self) -> dict[str, dict[int, int]]:
-        """Return the number of waiting requests by service and rank."""
+        """Return the number of waiting requests by service and class."""
         return {
             service: queue.waiting()
             for service, queue in self._queues.items()
--- a/wigeonfall/policy/room.py
+++ b/wigeonfall/policy/room.py
@@ -74,7 +74,7 @@
 
     Attributes:
         targets: its load by target.
-        waiting: waiting requests by service and rank.
+        waiting: waiting requests by service and class.
     """
 
     targets: Mapping[str, TargetLoad]
--- a/wigeonfall/policy/waiting.py
+++ b/wigeonfall/policy/waiting.py
@@ -5,11 +5,11 @@
 refusal. Served in order of arrival, all would be late once there is a queue.
 So requests wait in order of urgency, and within it those that can still meet
 their goal go first, then those that came back, then the others. Short requests
-that can meet their goal hold up nobody for long: they go before all that is
-late or less urgent than the most urgent that wait. Who waited as long as its
-caller's patience allows is refused in time, with a delay after which there
-should be room. When peers wait for the same targets, each instance takes its
-part of what is free.
+that can meet their goal hold up nobody for long: they go before all others.
+Who waited as long as its caller's patience allows is refused in time, with a
+delay after which there should be room. When peers wait for the same targets,
+each instance takes its part of what is free, after what is before its own
+requests in this order.
 """
 
 from collections.abc import Callable
@@ -39,7 +39,9 @@
 LOTTERY_S = 0.05  # period in which peers hear of each other
 
 
-_IN_TIME, _SHORT, _BACK, _LATE = range(4)
+SHORT_ADVANCE = 10_000  # more than the classes of all ranks
+_CLASSES = 3
+_IN_TIME, _BACK, _LATE = range(_CLASSES)
 
 
 @attrs.frozen
@@ -143,15 +145,17 @@
         self._own_places = 0
         self._lottery_s = 0.0
         self._won = 0
+        self._classes: dict[str, int] = {}
 
     def __len__(self) -> int:
         return len(self._wishes)
 
     def waiting(self) -> dict[int, int]:
-        """Return the number of waiting requests by rank."""
+        """Return the number of waiting requests by class."""
         counts: dict[int, int] = {}
-        for wish in self._wishes.values():
-            counts[wish.rank] = counts.get(wish.rank, 0) + 1
+        for name, wish in self._wishes.items():
+            number = self._classes.get(name, wish.rank * _CLASSES)
+            counts[number] = counts.get(number, 0) + 1
         return counts
 
     def add(self, wish: Wish) -> None:
@@ -185,12 +189,16 @@
 
         Args:
             names: targets that may get new work.
-            peers_waiting: waiting requests of all peers by rank.
+            peers_waiting: waiting requests of all peers by class.
             now_s: present time on the monotonic clock.
         """
         rooms = self._rooms.of(names)
+        self._classes = {
+            name: _class_of(wish, rooms, now_s)
+            for name, wish in self._wishes.items()
+        }
         self._hold_lottery(rooms, peers_waiting, now_s)
-        for wish in self._in_order(rooms, now_s):
+        for wish in sorted(self._wishes.values(), key=self._order):
             if not self._may_take(wish, peers_waiting):
                 return
             suitable = [r for r in rooms if wish.suits(r.target.name)]
@@ -208,31 +216,16 @@
             yield wish, chosen
         self._own_places = 0
 
-    def _in_order(self, rooms: list[TargetRoom], now_s: float) -> list[Wish]:
-        """Return the wishes, the first to be placed first."""
-        if not rooms:
-            return list(self._wishes.values())
-
-        top = min((w.rank for w in self._wishes.values()), default=0)
-
-        def order(wish: Wish) -> tuple[int, int, float]:
-            first_s = min(room.first_s(wish.size, now_s) for room in rooms)
-            if now_s + first_s + WAY_S > wish.goal_s:
-                late = _BACK if wish.returned else _LATE
-                return wish.rank, late, wish.arrived_s
-            answer_s = min(room.answer_s(wish.size, now_s) for room in rooms)
-            if first_s + answer_s <= SHORT_S and wish.rank > top:
-                return top, _SHORT, wish.arrived_s
-            return wish.rank, _IN_TIME, wish.arrived_s
-
-        return sorted(self._wishes.values(), key=order)
+    def _order(self, wish: Wish) -> tuple[int, float]:
+        return self._classes[wish.id], wish.arrived_s
 
     def _may_take(self, wish: Wish, peers_waiting: Mapping[int, int]) -> bool:
-        rivals = sum(n for r, n in peers_waiting.items() if r <= wish.rank)
+        own = self._classes[wish.id]
+        rivals = sum(n for c, n in peers_waiting.items() if c <= own)
         if not rivals:
             return True
-        more_urgent = any(n for r, n in peers_waiting.items() if r < wish.rank)
-        return self._won > 0 or (self._own_places > 0 and not more_urgent)
+        before = any(n for c, n in peers_waiting.items() if c < own)
+        return self._won > 0 or (self._own_places > 0 and not before)
 
     def _count_place(self, peers_waiting: Mapping[int, int]) -> None:
         if not any(peers_waiting.values()):
@@ -251,10 +244,24 @@
         if now_s - self._lottery_s < LOTTERY_S or not self._wishes:
             return
         self._lottery_s = now_s
-        rank = min(w.rank for w in self._wishes.values())
-        mine = sum(w.rank == rank for w in self._wishes.values())
-        above = sum(n for r, n in peers_waiting.items() if r < rank)
-        same = peers_waiting.get(rank, 0)
+        first = min(self._classes.values())
+        mine = sum(number == first for number in self._classes.values())
+        above = sum(n for c, n in peers_waiting.items() if c < first)
+        same = peers_waiting.get(first, 0)
         free = sum(max(0, int(r.free)) for r in rooms) - above
         part = max(0.0, free * mine / max(1, mine + same))
         self._won = int(part) + (self._draw() < part - int(part))
+
+
+def _class_of(wish: Wish, rooms: list[TargetRoom], now_s: float) -> int:
+    """Return the place of a wish in the order; smaller ones go first."""
+    number = wish.rank * _CLASSES
+    if not rooms:
+        return number
+    first_s = min(room.first_s(wish.size, now_s) for room in rooms)
+    if now_s + first_s + WAY_S > wish.goal_s:
+        return number + (_BACK if wish.returned else _LATE)
+    answer_s = min(room.answer_s(wish.size, now_s) for room in rooms)
+    if first_s + answer_s <= SHORT_S:
+        return number + _IN_TIME - SHORT_ADVANCE
+    return number + _IN_TIME
