--- /dev/null
+++ b/tests/users_platform/test_process.py
@@ -0,0 +1,258 @@
+"""Tests of real processes against a stand-in of the platform."""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import sys
+
+import pytest
+
+from tests.fakes.forwarding import read_answer
+from tests.fakes.forwarding import ScriptedTarget
+from tests.fakes.metadata_store import MetadataStore
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+START_S = 30
+TEMPLATE = """[instance]
+name = {name}
+data_center = z
+[listen]
+callers_address = 127.0.0.1:{callers}
+ready_address = 127.0.0.1:{ready}
+peers_address = {peers_host}:{peers}
+metrics_address = 127.0.0.1:{metrics}
+[platform]
+address = {store}
+[stop]
+grace_s = 8
+settle_s = 1
+[retry]
+ratio = {ratio}
+slack_requests = 50
+[peers]
+seeds = 127.0.0.1:1
+"""
+MANIFEST = {
+    'Version': 3,
+    'Routes': [
+        {
+            'Name': 'r',
+            'Host': 'meat.example',
+            'PathPrefix': '/r/',
+            'Kind': 'streaming',
+            'TimeoutMs': 9000,
+            'TargetLatencyMs': 500,
+            'GapAimMs': 2000,
+            'Service': 's',
+            'AllowAnonymous': True,
+        }
+    ],
+    'Services': [{'Name': 's'}],
+    'Limits': {},
+    'Tenants': [],
+}
+REQUEST = (
+    b'GET /r/x HTTP/1.1\r\nHost: meat.example\r\n'
+    b'X-Wigeonfall-Request-Id: %s\r\n\r\n'
+)
+
+
+def free_ports(count):
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in sockets:
+            sock.bind(('127.0.0.1', 0))
+        return [sock.getsockname()[1] for sock in sockets]
+
+
+class Instance:
+    """One process of the adapter."""
+
+    def __init__(self, directory, store, name='i1'):
+        names = ('callers', 'ready', 'peers', 'metrics')
+        self.name = name
+        self.peers_host = '127.0.0.1'
+        self.ports = dict(zip(names, free_ports(4), strict=True))
+        self.store = store
+        self.path = directory / f'{name}.ini'
+        self.log = directory / f'{name}.log'
+        self.write_settings()
+
+    def write_settings(self, ratio=0.2):
+        text = TEMPLATE.format(
+            name=self.name,
+            peers_host=self.peers_host,
+            store=self.store.address,
+            ratio=ratio,
+            **self.ports,
+        )
+        self.path.write_text(text, 'utf-8')
+
+    async def __aenter__(self):
+        with self.log.open('wb') as output:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                'platform/run.py',
+                cwd=ROOT,
+                env=os.environ | {'WIGEONFALL_CONFIG': str(self.path)},
+                stdout=output,
+                stderr=output,
+            )
+        async with asyncio.timeout(START_S):
+            while await self.page('ready', '/api/ready') != 200:
+                await asyncio.sleep(0.05)
+        return self
+
+    async def __aexit__(self, *_exc):
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+
+    async def page(self, port, path):
+        try:
+            reader, writer = await self.connect(port)
+        except OSError:
+            return 0
+        writer.write(f'GET {path} HTTP/1.1\r\nHost: x\r\n\r\n'.encode())
+        try:
+            return (await read_answer(reader))[0]
+        finally:
+            writer.close()
+
+    async def connect(self, port='callers'):
+        return await asyncio.open_connection('127.0.0.1', self.ports[port])
+
+    async def ask(self, number):
+        reader, writer = await self.connect()
+        writer.write(REQUEST % str(number).encode())
+        try:
+            return await read_answer(reader)
+        finally:
+            writer.close()
+
+    def events(self):
+        lines = self.log.read_text('utf-8').splitlines()
+        return [json.loads(line) for line in lines if line.startswith('{')]
+
+
+def slow_stream(events, pause_s):
+    async def script(served):
+        served.write(
+            b'HTTP/1.1 200 OK\r\nX-Wigeonfall-Server-Stamp: s\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n'
+        )
+        for number in range(1, events + 1):
+            served.event(number)
+            await served.writer.drain()
+            await asyncio.sleep(pause_s)
+        served.write(b'0\r\n\r\n')
+
+    return script
+
+
+def run(scenario, directory):
+    async def whole():
+        target = ScriptedTarget('e1', slow_stream(5, 0.2))
+        await target.start()
+        with MetadataStore() as store:
+            store.objects.put('config', 'main', MANIFEST)
+            store.objects.put(
+                'servers',
+                'e1',
+                {
+                    'Service': 's',
+                    'Address': target.address,
+                    'Zone': 'z',
+                    'Version': 'v1',
+                    'Slots': 20,
+                    'State': 'ready',
+                },
+            )
+            await scenario(store, target)
+        target.stop()
+
+    async def limited():
+        async with asyncio.timeout(90):
+            await whole()
+
+    asyncio.run(limited())
+
+
+def test_a_planned_stop_cuts_nothing(tmp_path):
+    async def scenario(store, _target):
+        async with Instance(tmp_path, store) as instance:
+            kept = await instance.connect()
+            running = [asyncio.create_task(instance.ask(n)) for n in range(10)]
+            await asyncio.sleep(0.3)
+            instance.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.2)
+            assert await instance.page('ready', '/api/ready') == 503
+            late = await instance.ask(99)
+            assert late[0] == 200
+            assert late[1]['connection'] == 'close'
+            answers = await asyncio.gather(*running)
+            assert all(status == 200 for status, _, _ in answers)
+            assert all(body.count(b'data:') == 5 for _, _, body in answers)
+            # The end of an idle connection says that nothing was read.
+            assert await kept[0].read() == b''
+            assert await instance.process.wait() == 0
+            numbers = [event['event'] for event in instance.events()]
+            assert numbers[0] == 101 and numbers[-1] == 104
+
+    run(scenario, tmp_path)
+
+
+def test_changed_settings_are_read_with_and_without_a_signal(tmp_path):
+    async def scenario(store, _target):
+        async with Instance(tmp_path, store) as instance:
+            instance.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.5)
+            instance.write_settings(ratio=0.1)
+            await asyncio.sleep(2.5)
+            instance.path.write_text('[listen]\nbad', 'utf-8')
+            await asyncio.sleep(2.5)
+            assert (await instance.ask(1))[0] == 200
+            numbers = [event['event'] for event in instance.events()]
+            assert numbers.count(105) == 2
+            assert 106 in numbers
+
+    run(scenario, tmp_path)
+
+
+def test_an_instance_starts_without_the_store_by_what_a_peer_knows(tmp_path):
+    async def scenario(store, _target):
+        async with Instance(tmp_path, store, 'i1') as first:
+            await wait_for_address(store, first)
+            store.objects.away = True
+            second = Instance(tmp_path, store, 'i2')
+            # Instances have the same ports on hosts of their own.
+            second.peers_host = '127.0.0.2'
+            second.ports['peers'] = first.ports['peers']
+            second.write_settings()
+            async with second:
+                assert (await second.ask(7))[0] == 200
+                numbers = [event['event'] for event in second.events()]
+                assert 708 in numbers
+
+    run(scenario, tmp_path)
+
+
+async def wait_for_address(store, instance):
+    async with asyncio.timeout(10):
+        while store.objects.get('instances', instance.name) is None:
+            await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize('path', ['/metrics', '/snapshot'])
+def test_pages_for_metrics_and_peers(tmp_path, path):
+    async def scenario(store, _target):
+        async with Instance(tmp_path, store) as instance:
+            assert await instance.page('metrics', path) == 200
+            assert await instance.page('peers', path) == 200
+            assert await instance.page('ready', path) == 404
+
+    run(scenario, tmp_path)
