Count the forwarding path, and pass answers to HEAD on

Cause: metrics counted only the first path; an answer to HEAD names a length that no body follows, so it ended at the time limit. Change: counters and histograms by route, target, rank and status with bounded labels; answers to HEAD end with their head. Tests of both pass.

--- a/tests/forwarding/test_path.py
+++ b/tests/forwarding/test_path.py
@@ -347,6 +347,20 @@
     run(scenario)
 
 
+def test_an_answer_to_head_has_no_body():
+    async def scenario():
+        async def script(served):
+            served.write(
+                b'HTTP/1.1 200 OK\r\nReceipt: r\r\nContent-Length: 800\r\n\r\n'
+            )
+
+        async with Site(script) as site:
+            status, _, body = await site.ask('/safe/x', method='HEAD')
+            assert (status, body) == (200, b'')
+
+    run(scenario)
+
+
 def test_an_answer_without_a_length_ends_with_its_connection():
     async def scenario():
         async def script(served):
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -44,3 +44,31 @@
     bucket = 'wigeonfall_answer_seconds_bucket'
     assert value(bucket, **LABELS, le='0.1') == 1
     assert value(bucket, **LABELS, le='0.3') == 2
+
+
+def test_labels_are_bounded(monkeypatch):
+    monkeypatch.setattr(metrics, 'MOST_LABELS', 2)
+    registry = prometheus_client.CollectorRegistry()
+    made = metrics.Metrics(registry)
+    names = [made.label('route', name) for name in ('a', 'b', 'c', 'a')]
+    assert names == ['a', 'b', 'other', 'a']
+
+
+def test_the_forwarding_path_is_counted():
+    registry = prometheus_client.CollectorRegistry()
+    made = metrics.Metrics(registry)
+    record = metrics.counting(lambda *_args, **_fields: None, made)
+    record(
+        Event.REQUEST_PASSED_ON,
+        route='r',
+        target='t',
+        status=200,
+        waited_ms=20,
+        first_ms=90,
+    )
+    record(Event.REQUEST_TURNED_AWAY, route='r', rank=1, status=503, ran=False)
+    text = prometheus_client.generate_latest(registry).decode()
+    assert 'wigeonfall_passed_on_total{route="r",' in text
+    assert 'wigeonfall_wait_seconds_count{route="r"} 1.0' in text
+    assert 'wigeonfall_first_seconds_count{target="t"} 1.0' in text
+    assert 'status="503"' in text
--- a/wigeonfall/forwarding/exchange.py
+++ b/wigeonfall/forwarding/exchange.py
@@ -75,6 +75,7 @@
     """One connection to a target."""
 
     def __init__(self) -> None:
+        self.bodiless = False
         self.transport: asyncio.Transport | None = None
         self.messages: collections.deque[_Message] = collections.deque()
         self.parser = httptools.HttpResponseParser(self)
@@ -138,6 +139,11 @@
         message.head = Head(status, headers, None if chunked else length)
         if not self.parser.should_keep_alive():
             self.keep_alive = False
+        if self.bodiless and status >= _CONTINUE_BELOW:
+            # The parser does not know that no body follows.
+            message.whole = True
+            self.keep_alive = False
+            return
         has_body = status >= _CONTINUE_BELOW and status not in _NO_BODY
         message.until_end = has_body and not chunked and length is None
 
@@ -309,6 +315,7 @@
         if connection is None:
             connection = await self._connect(address)
         assert connection.transport is not None
+        connection.bodiless = data.startswith(b'HEAD ')
         connection.transport.write(data)
         return Exchange(connection, self, address, self._id_header, request_id)
 
--- a/wigeonfall/metrics.py
+++ b/wigeonfall/metrics.py
@@ -7,6 +7,7 @@
 from .events import Event
 from .recorder import Record
 
+MOST_LABELS = 100  # routes and targets come and go over weeks
 _SECONDS_BUCKETS = (0.01, 0.03, 0.1, 0.3, 1.0, 1.4, 3.0, 10.0, 30.0, 100.0)
 
 
@@ -45,6 +46,41 @@
             buckets=_SECONDS_BUCKETS,
             registry=registry,
         )
+        self.passed_on = prometheus_client.Counter(
+            'wigeonfall_passed_on',
+            'Answers of targets that were passed on.',
+            ['route', 'target', 'status'],
+            registry=registry,
+        )
+        self.turned_away = prometheus_client.Counter(
+            'wigeonfall_turned_away',
+            'Requests that got no whole answer, by rank and status.',
+            ['route', 'rank', 'status', 'ran'],
+            registry=registry,
+        )
+        self.wait_seconds = prometheus_client.Histogram(
+            'wigeonfall_wait_seconds',
+            'Time that answered requests waited for a target.',
+            ['route'],
+            buckets=_SECONDS_BUCKETS,
+            registry=registry,
+        )
+        self.first_seconds = prometheus_client.Histogram(
+            'wigeonfall_first_seconds',
+            'Time from sending to the first byte or event.',
+            ['target'],
+            buckets=_SECONDS_BUCKETS,
+            registry=registry,
+        )
+        self._names: dict[str, set[str]] = {}
+
+    def label(self, kind: str, name: str) -> str:
+        """Return a name as a label, or 'other' beyond a number of them."""
+        names = self._names.setdefault(kind, set())
+        if name not in names and len(names) >= MOST_LABELS:
+            return 'other'
+        names.add(name)
+        return name
 
 
 def counting(record: Record, metrics: Metrics) -> Record:
@@ -57,6 +93,10 @@
             _count_answer(metrics, fields)
         elif event is Event.REQUEST_REFUSED:
             _count_refusal(metrics, fields)
+        elif event is Event.REQUEST_PASSED_ON:
+            _count_passed_on(metrics, fields)
+        elif event is Event.REQUEST_TURNED_AWAY:
+            _count_turned_away(metrics, fields)
         elif event is Event.ATTEMPT_FAILED:
             metrics.attempt_failures.labels(fields['kind']).inc()
 
@@ -73,3 +113,18 @@
     metrics.refusals.labels(
         fields['service'], fields['tier'], fields['code'], fields['run']
     ).inc()
+
+
+def _count_passed_on(metrics: Metrics, fields: dict[str, Any]) -> None:
+    route = metrics.label('route', fields['route'])
+    target = metrics.label('target', fields['target'])
+    metrics.passed_on.labels(route, target, fields['status']).inc()
+    metrics.wait_seconds.labels(route).observe(fields['waited_ms'] / 1000)
+    metrics.first_seconds.labels(target).observe(fields['first_ms'] / 1000)
+
+
+def _count_turned_away(metrics: Metrics, fields: dict[str, Any]) -> None:
+    route = metrics.label('route', fields['route'])
+    metrics.turned_away.labels(
+        route, fields['rank'], fields['status'], fields['ran']
+    ).inc()
