Count what ran before a start against token limits

Change: peers tell what they used in the last window, and as far as none is older than a window the customer's rate counts as used. A test replays the kill: at most the burst and the rate are admitted.

--- a/tests/forwarding/test_peers.py
+++ b/tests/forwarding/test_peers.py
@@ -16,9 +16,11 @@
     incarnation=5,
     sequence=1,
     address='10.0.0.2:7',
+    age_s=3.5,
     targets={'t': TargetLoad(3, 500.0, Said(0.1, 2.0), Said(0.01, 1.5))},
     waiting={'s': {0: 2, 17: 1}},
     taken={'c': 900},
+    used={'c': 200},
     revisions={'k': 4},
     peers=('10.0.0.3:7',),
     evidence={'s/v2/good': 3},
@@ -67,6 +69,14 @@
     assert peers.known_names(peers_module.KNOWN_S + 1) == frozenset()
 
 
+def test_the_part_of_instances_that_started_lately():
+    peers = Peers('10.0.0.1:7')
+    peers.hear(MESSAGE, 0.0)
+    assert peers.young_share(8.0, 100.0, 0.5) == 0.5
+    assert peers.young_share(8.0, 1.0, 0.5) == 1.0
+    assert peers.young_share(8.0, 100.0, 5.0) == 0.0
+
+
 def test_all_is_old_after_the_process_stood_still():
     peers = Peers('10.0.0.1:7')
     peers.hear(MESSAGE, 0.0)
--- a/tests/policy/test_token_quota.py
+++ b/tests/policy/test_token_quota.py
@@ -5,10 +5,17 @@
 
 from tests.policy.test_routing import make_customer
 from wigeonfall.policy import token_quota
+from wigeonfall.policy.token_quota import Hearing
+from wigeonfall.policy.token_quota import Said
 from wigeonfall.policy.token_quota import TokenQuotas
 
-PEERS = frozenset({'peer', 'i0', 'i1', 'i2'})
+PEERS = Hearing({'peer', 'i0', 'i1', 'i2'})
 LIMIT_TOKENS = 1000.0 * token_quota.WINDOW_S + 2000.0
+ALL_YOUNG = Hearing(young_share=1.0)
+
+
+def said(incarnation, taken):
+    return Said(incarnation, taken, taken)
 
 
 def test_a_window_holds_the_rate_and_the_burst():
@@ -29,11 +36,11 @@
     quotas = TokenQuotas()
     customer = make_customer()
     quotas.take(customer, 100, False, PEERS, 0.0)
-    quotas.hear('peer', 1, {'c': LIMIT_TOKENS - 200}, 0.0)
+    quotas.hear('peer', said(1, {'c': LIMIT_TOKENS - 200}), 0.0)
     assert quotas.take(customer, 100, False, PEERS, 0.0) is None
     assert quotas.take(customer, 100, False, PEERS, 0.0) is not None
     # The same total again adds nothing, a new start of the peer does.
-    quotas.hear('peer', 1, {'c': LIMIT_TOKENS - 200}, 7.0)
+    quotas.hear('peer', said(1, {'c': LIMIT_TOKENS - 200}), 7.0)
     assert quotas.take(customer, 100, False, PEERS, 9.0) is None
 
 
@@ -41,22 +48,22 @@
     quotas = TokenQuotas()
     customer = make_customer()
     quotas.take(customer, 100, False, PEERS, 0.0)
-    quotas.hear('peer', 1, {'c': LIMIT_TOKENS - 1000}, 0.0)
-    nobody = frozenset()
+    quotas.hear('peer', said(1, {'c': LIMIT_TOKENS - 1000}), 0.0)
+    nobody = Hearing()
     later_s = token_quota.WINDOW_S + 1
     assert quotas.take(customer, 1000, False, nobody, later_s) is None
     assert quotas.take(customer, 100, False, nobody, later_s) is not None
-    quotas.hear('peer', 2, {}, later_s)
+    quotas.hear('peer', said(2, {}), later_s)
     assert quotas.take(customer, 100, False, PEERS, later_s) is None
 
 
 def test_a_peer_that_is_forgotten_counts_no_more():
     quotas = TokenQuotas()
     customer = make_customer()
-    quotas.hear('peer', 1, {'c': LIMIT_TOKENS}, 0.0)
-    assert quotas.take(customer, 100, False, frozenset(), 1.0) is not None
+    quotas.hear('peer', said(1, {'c': LIMIT_TOKENS}), 0.0)
+    assert quotas.take(customer, 100, False, Hearing(), 1.0) is not None
     quotas.forget(())
-    assert quotas.take(customer, 100, True, frozenset(), 1.0) is None
+    assert quotas.take(customer, 100, True, Hearing(), 1.0) is None
 
 
 def test_tokens_of_a_request_that_did_not_run_return():
@@ -88,6 +95,30 @@
     assert quotas.take(customer, 6000, True, PEERS, 8.2) is None
 
 
+def test_instances_that_all_started_lately_allow_what_the_rate_leaves():
+    """All were killed while a customer was at its limit, and began anew."""
+    before = TokenQuotas()
+    customer = make_customer()
+    while before.take(customer, 100, False, PEERS, 7.9) is None:
+        pass
+    quotas = TokenQuotas(started_s=8.0)
+    admitted = 0
+    for step in range(80):
+        now_s = 8.0 + step / 10
+        while quotas.take(customer, 100, True, ALL_YOUNG, now_s) is None:
+            admitted += 100
+        assert admitted <= customer.burst_tokens + 1000.0 * (step / 10 + 0.1)
+    assert admitted >= LIMIT_TOKENS - 1500
+
+
+def test_an_instance_that_starts_counts_only_what_peers_used_lately():
+    quotas = TokenQuotas(started_s=100.0)
+    customer = make_customer()
+    quotas.hear('peer', Said(1, {'c': 9e6}, {'c': 3000.0}), 100.0)
+    assert quotas.take(customer, 7000, False, PEERS, 100.1) is None
+    assert quotas.take(customer, 100, False, PEERS, 100.1) is not None
+
+
 @given(
     st.lists(
         st.tuples(
@@ -111,7 +142,11 @@
             admitted.append((now_s, tokens))
             for number, other in enumerate(instances):
                 if number != at:
-                    other.hear(f'i{at}', 1, quotas.taken(), now_s)
+                    other.hear(
+                        f'i{at}',
+                        Said(1, quotas.taken(), quotas.used(now_s)),
+                        now_s,
+                    )
     for end_s, _ in admitted:
         start_s = end_s - token_quota.WINDOW_S
         used = sum(n for at_s, n in admitted if start_s < at_s <= end_s)
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -72,7 +72,8 @@
         self._targets = TargetView()
         self._names: dict[str, tuple[str, ...]] = {}
         self._rooms = Rooms(settings.instance.data_center)
-        self._quotas = token_quota.TokenQuotas()
+        self._started_s = time.monotonic()
+        self._quotas = token_quota.TokenQuotas(self._started_s)
         self._peers = peers_module.Peers(settings.listen.peers_address)
         self._peers.learn(_seed_addresses(settings))
         self._connections = TargetConnections(outside.names.request_id.lower())
@@ -281,10 +282,17 @@
             work.customer,
             work.tokens,
             returned,
-            self._peers.heard_names(now_s),
+            self._hearing(now_s),
             now_s,
         )
 
+    def _hearing(self, now_s: float) -> token_quota.Hearing:
+        own_age_s = now_s - self._started_s
+        return token_quota.Hearing(
+            self._peers.heard_names(now_s),
+            self._peers.young_share(token_quota.WINDOW_S, own_age_s, now_s),
+        )
+
     def _give_tokens_back(self, work: Work) -> None:
         if work.customer is not None:
             self._quotas.give_back(
@@ -393,9 +401,11 @@
             incarnation=self._incarnation,
             sequence=self._sequence,
             address=self._settings.listen.peers_address,
+            age_s=round(now_s - self._started_s, 1),
             targets=self._rooms.load(now_s),
             waiting=self._placing.waiting(),
             taken=self._quotas.taken(),
+            used=self._quotas.used(now_s),
             revisions=self._view.revisions(),
             peers=tuple(peer.message.address for peer in heard),
             evidence=self._trials.evidence.own(),
@@ -407,9 +417,10 @@
         now_s = time.monotonic()
         if not self._peers.hear(message, now_s):
             return
-        self._quotas.hear(
-            message.name, message.incarnation, message.taken, now_s
+        said = token_quota.Said(
+            message.incarnation, message.taken, message.used
         )
+        self._quotas.hear(message.name, said, now_s)
         self._trials.evidence.hear(
             message.name, message.incarnation, message.evidence
         )
--- a/wigeonfall/forwarding/peers.py
+++ b/wigeonfall/forwarding/peers.py
@@ -36,7 +36,9 @@
         address: "host:port" of its datagrams and its snapshot.
         targets: load by target.
         waiting: waiting requests by service and class.
+        age_s: time since its start.
         taken: tokens taken so far by customer.
+        used: tokens taken in the last window by customer.
         revisions: newest known change by kind of object.
         peers: addresses of the instances that it hears.
         evidence: counts of answers by service, version and outcome.
@@ -46,9 +48,11 @@
     incarnation: int
     sequence: int
     address: str
+    age_s: float
     targets: dict[str, TargetLoad]
     waiting: dict[str, dict[int, int]]
     taken: dict[str, float]
+    used: dict[str, float]
     revisions: dict[str, int]
     peers: tuple[str, ...] = ()
     evidence: dict[str, int] = attrs.field(factory=dict)
@@ -178,6 +182,19 @@
         """Return the names of the peers that were heard lately."""
         return frozenset(p.message.name for p in self.heard(now_s))
 
+    def young_share(
+        self, younger_s: float, own_age_s: float, now_s: float
+    ) -> float:
+        """Return the part of the heard instances that started lately.
+
+        Args:
+            younger_s: age below which an instance started lately.
+            own_age_s: time since the start of this instance.
+            now_s: present time on the monotonic clock.
+        """
+        ages_s = [p.message.age_s for p in self.heard(now_s)] + [own_age_s]
+        return sum(age_s < younger_s for age_s in ages_s) / len(ages_s)
+
     def known_names(self, now_s: float) -> frozenset[str]:
         """Return the names of all peers that are not forgotten yet."""
         return frozenset(p.message.name for p in self._known(now_s))
--- a/wigeonfall/policy/token_quota.py
+++ b/wigeonfall/policy/token_quota.py
@@ -5,6 +5,8 @@
 A limit is what may run in any window of a given length: the rate times the
 window, and the burst. Each instance counts what it admitted and what its peers
 say that they admitted. A peer that falls silent is taken to go on as before.
+Instances that have just started do not know what ran before: as far as none
+can tell, each customer is taken to have used its rate.
 A caller that is refused is told when there will be room, and that room is kept
 for it.
 """
@@ -12,6 +14,7 @@
 import collections
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Mapping
 import heapq
 
 import attrs
@@ -130,6 +133,35 @@
         return WINDOW_S
 
 
+@attrs.frozen
+class Said:
+    """What an instance says that it admitted, by customer.
+
+    Attributes:
+        incarnation: number that tells its starts apart.
+        taken: all tokens since it started.
+        used: tokens in its last window.
+    """
+
+    incarnation: int
+    taken: Mapping[str, float]
+    used: Mapping[str, float]
+
+
+@attrs.frozen
+class Hearing:
+    """What an instance hears of its peers.
+
+    Attributes:
+        names: names of the peers that are heard.
+        young_share: part of the instances, this included, that started
+            within the last window.
+    """
+
+    names: Collection[str] = frozenset()
+    young_share: float = 0.0
+
+
 @attrs.frozen
 class OverLimit:
     """Why a customer gets no tokens now.
@@ -146,9 +178,14 @@
 
 
 class TokenQuotas:
-    """The usage of all customers, as one instance sees it."""
+    """The usage of all customers, as one instance sees it.
+
+    Args:
+        started_s: when the process started, on the monotonic clock.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, started_s: float = float('-inf')) -> None:
+        self._started_s = started_s
         self._usages: dict[str, Usage] = {}
         self._incarnations: dict[str, int] = {}
 
@@ -157,7 +194,7 @@
         customer: KeyHolder,
         tokens: float,
         returned: bool,
-        heard: Collection[str],
+        hearing: Hearing,
         now_s: float,
     ) -> OverLimit | None:
         """Take tokens for a request.
@@ -166,7 +203,7 @@
             customer: the customer with its present limit.
             tokens: tokens of the request.
             returned: whether its caller was refused before.
-            heard: names of the peers that are heard.
+            hearing: which peers are heard.
             now_s: present time on the monotonic clock.
 
         Returns:
@@ -177,15 +214,20 @@
         usage = self._usages.setdefault(customer.name, Usage())
         limit = customer.tokens_per_s * WINDOW_S + customer.burst_tokens
         usage.set_limit(limit)
-        usage.drop_old(heard, now_s)
-        used = usage.used_tokens()
+        usage.drop_old(hearing.names, now_s)
+        unseen_s = max(0.0, self._started_s + WINDOW_S - now_s)
+        unseen = customer.tokens_per_s * unseen_s * hearing.young_share
+        used = usage.used_tokens() + unseen
         missing = used + tokens - limit
         if not returned:
             missing += usage.promised_tokens()
         # One that is larger than the whole limit waits for an empty window.
         oversized = tokens > limit and used <= 0
         if missing > 0 and not oversized:
+            pace = customer.tokens_per_s * hearing.young_share
             delay_s = usage.room_s(missing, now_s)
+            if unseen:
+                delay_s = min(delay_s, max(WAIT_LEAST_S, missing / pace))
             if not returned:
                 kept = Taken(now_s + delay_s + KEPT_S, tokens)
                 usage.promised.append(kept)
@@ -209,25 +251,36 @@
             if usage.own.all_tokens
         }
 
-    def hear(
-        self,
-        peer: str,
-        incarnation: int,
-        taken: dict[str, float],
-        now_s: float,
-    ) -> None:
-        """Count what a peer admitted since it was last heard."""
-        if self._incarnations.get(peer) != incarnation:
-            self._incarnations[peer] = incarnation
-            for usage in self._usages.values():
-                if peer in usage.peers:
-                    usage.peers[peer].all_tokens = 0.0
-        for name, total in taken.items():
+    def used(self, now_s: float) -> dict[str, float]:
+        """Return what this instance admitted lately, by customer."""
+        used: dict[str, float] = {}
+        for name, usage in self._usages.items():
+            usage.own.drop_old(now_s)
+            if usage.own.used_tokens:
+                used[name] = round(usage.own.used_tokens)
+        return used
+
+    def hear(self, peer: str, said: Said, now_s: float) -> None:
+        """Count what a peer admitted since it was last heard.
+
+        Args:
+            peer: name of the peer.
+            said: what it says.
+            now_s: present time on the monotonic clock.
+        """
+        first = self._incarnations.get(peer) != said.incarnation
+        self._incarnations[peer] = said.incarnation
+        for name, total in said.taken.items():
             usage = self._usages.setdefault(name, Usage())
             window = usage.peers.setdefault(peer, Window())
-            new = total - window.all_tokens
+            new = (
+                said.used.get(name, 0.0)
+                if first
+                else (total - window.all_tokens)
+            )
             if new:
                 window.add(new, now_s)
+            window.all_tokens = total
 
     def forget(self, known: Iterable[str]) -> None:
         """Forget the peers that are known no more."""
