--- a/tests/forwarding/test_path.py
+++ b/tests/forwarding/test_path.py
@@ -456,10 +456,14 @@
     async def scenario():
         async with Site(fine) as site:
             site.instance.turn_away()
-            status, headers, _ = await site.ask()
+            status, headers, _ = await site.ask(request_id='late-1')
             assert status == 503
             assert float(headers['retry-after']) < 0.2
             assert not site.targets[0].served
+            # Two incidents named requests that no log line named.
+            name, fields = site.events[-1]
+            assert name == 'CALL_REJECTED'
+            assert fields['request_id'] == 'late-1'
 
     run(scenario)
 
--- a/wigeonfall/forwarding/path.py
+++ b/wigeonfall/forwarding/path.py
@@ -106,12 +106,12 @@
         """Answer one call."""
         index = self._parts.index()
         if index is None:
-            self._refuse_unread(
-                reply, 'no configuration yet', NO_TABLE_RETRY_S
-            )
+            reason = 'no configuration yet'
+            self._refuse_unread(call, reply, reason, NO_TABLE_RETRY_S)
             return
         if self._parts.leaving():
-            self._refuse_unread(reply, 'instance stops', ELSEWHERE_RETRY_S)
+            reason = 'instance stops'
+            self._refuse_unread(call, reply, reason, ELSEWHERE_RETRY_S)
             return
         matched = match(index, call, self._parts.names)
         if isinstance(matched, Err):
@@ -373,16 +373,17 @@
         self._refuse(work, reply, progress, status, 'out of time', None)
 
     def _refuse_unread(
-        self, reply: Reply, reason: str, delay_s: float
+        self, call: Call, reply: Reply, reason: str, delay_s: float
     ) -> None:
-        headers = (_retry_after(delay_s),)
-        reply.send(http.HTTPStatus.SERVICE_UNAVAILABLE, headers, b'')
-        self._parts.record(
-            Event.CALL_REJECTED, status=503, reason=reason, request_id=''
-        )
+        status = int(http.HTTPStatus.SERVICE_UNAVAILABLE)
+        reply.send(status, (_retry_after(delay_s),), b'')
+        self._record_rejection(call, Rejection(status, reason))
 
     def _reject(self, call: Call, reply: Reply, rejected: Rejection) -> None:
         reply.send(rejected.status, (), b'')
+        self._record_rejection(call, rejected)
+
+    def _record_rejection(self, call: Call, rejected: Rejection) -> None:
         name = self._parts.names.request_id.lower()
         self._parts.record(
             Event.CALL_REJECTED,
