Log which targets and peers come and go

Cause: on-call engineers saw only how many targets there were, and not when an instance stopped hearing another. Change: events 703 and 704 for peers, names in event 514.

--- a/wigeonfall/explain.py
+++ b/wigeonfall/explain.py
@@ -33,6 +33,8 @@
         Event.WATCH_REGAINED,
         Event.SNAPSHOT_TAKEN,
         Event.VERSION_JUDGED,
+        Event.PEER_UNREACHABLE,
+        Event.PEER_REACHABLE,
     )
 )
 
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -94,6 +94,7 @@
         self._link = peers_module.PeerLink(
             self._message, self._peers.addresses, self._hear, record
         )
+        self._heard: frozenset[str] = frozenset()
         self._incarnation = random.getrandbits(53)
         self._sequence = 0
         self._leaving = False
@@ -182,10 +183,19 @@
     def sweep(self, now_s: float) -> None:
         """Drop what is old."""
         self._connections.close_idle(now_s)
+        self._note_peers(now_s)
         self._peers.drop_old(now_s)
         self._quotas.forget(self._peers.known_names(now_s))
         self._refresh_targets()
 
+    def _note_peers(self, now_s: float) -> None:
+        heard = self._peers.heard_names(now_s)
+        for name in sorted(self._heard - heard):
+            self.record(Event.PEER_UNREACHABLE, peer=name)
+        for name in sorted(heard - self._heard):
+            self.record(Event.PEER_REACHABLE, peer=name)
+        self._heard = heard
+
     def _path_parts(self) -> path_module.PathParts:
         requested, resend = path_module.make_resends(
             lambda: resend_budget.ResendLimits(
@@ -306,10 +316,14 @@
                 *names.get(target.service, ()),
                 target.name,
             )
-        if names != self._names:
+        before = {name for group in self._names.values() for name in group}
+        present = {target.name for target in usable}
+        if present != before:
             self.record(
                 Event.TARGETS_CHANGED,
-                targets={name: len(items) for name, items in names.items()},
+                added=sorted(present - before),
+                removed=sorted(before - present),
+                targets=len(present),
                 revision=self._view.revisions()[self.outside.targets_kind],
             )
         self._names = names
