Take one lost watch for no outage of the store

Change: two failures in a row are an outage, and entries are kept for 2.0 s. A test loses one watch and fails without the change.

--- a/tests/fakes/object_store.py
+++ b/tests/fakes/object_store.py
@@ -23,6 +23,7 @@
 
     def __init__(self) -> None:
         self.away = False
+        self.lose_next = 0
         self.calls = 0
         self._revision = 1
         self._objects: dict[tuple[str, str], StoredObject] = {}
@@ -104,6 +105,9 @@
             with self._changed:
                 if self.away:
                     return Err(AWAY)
+                if self.lose_next:
+                    self.lose_next -= 1
+                    return Err(AWAY)
                 if since < self._forgotten:
                     return Err(PlatformError(PlatformErrorKind.GONE, 'gone'))
                 changes = [
--- a/tests/forwarding/test_watching.py
+++ b/tests/forwarding/test_watching.py
@@ -58,6 +58,21 @@
         watch.stopping.set()
 
 
+def test_one_lost_watch_is_no_outage():
+    """What vanished beside it is gone, and not kept for its return."""
+    watch = _Watch()
+    try:
+        watch.store.put('k', 'a', {})
+        watch.wait_for({'a'})
+        watch.store.lose_next = 1
+        watch.store.put('other', 'x', {})
+        time.sleep(0.5)
+        assert watch.store.lose_next == 0
+        assert False not in watch.reachable
+    finally:
+        watch.stopping.set()
+
+
 def test_a_quiet_watch_costs_few_calls():
     watch = _Watch()
     try:
--- a/wigeonfall/forwarding/watching.py
+++ b/wigeonfall/forwarding/watching.py
@@ -15,6 +15,7 @@
 from ..recorder import Record
 
 WATCH_S = 5.0  # a silent link is noticed after this time
+OUTAGE_FAILURES = 2  # one lost watch is no outage
 RETRY_FIRST_S = 0.1
 RETRY_MOST_S = 0.8  # a change is in force two seconds after the store is back
 
@@ -68,7 +69,8 @@
         if not failures:
             watcher.record(Event.WATCH_LOST, kind=watcher.kind, detail=error)
         failures += 1
-        watcher.reachable(False)
+        if failures >= OUTAGE_FAILURES:
+            watcher.reachable(False)
         most_s = min(RETRY_MOST_S, RETRY_FIRST_S * 2**failures)
         watcher.stopping.wait(most_s * (0.5 + random.random() / 2))
 
--- a/wigeonfall/policy/target_view.py
+++ b/wigeonfall/policy/target_view.py
@@ -10,7 +10,7 @@
 from ..model.target import Target
 from ..model.target import TargetState
 
-RETURN_S = 2.3  # entries are back two seconds after the store
+RETURN_S = 2.0  # entries are back about this long after the store
 
 
 @attrs.frozen
