--- a/tests/fakes/processes.py
+++ b/tests/fakes/processes.py
@@ -61,7 +61,7 @@
         self._popen = subprocess.Popen(
             command,
             cwd=REPOSITORY,
-            env={**os.environ, **env},
+            env={**os.environ, 'PYTHONFAULTHANDLER': '1', **env},
             stdout=subprocess.PIPE,
             stderr=subprocess.PIPE,
             text=True,
@@ -133,8 +133,14 @@
         try:
             return self._finish(timeout_s)
         except subprocess.TimeoutExpired:
+            # The stacks of all threads tell where it hangs.
+            self._popen.send_signal(signal.SIGABRT)
+            time.sleep(1)
             self.kill()
-            raise ProcessFailed(f'{self.name} did not stop') from None
+            raise ProcessFailed(
+                f'{self.name} did not stop: {self.lines()[-3:]}'
+                f' {self.errors()[-6000:]}'
+            ) from None
 
     def usage(self) -> Usage:
         """Return the resources that it has used so far."""
