Queue log lines by a queue that finalizers may use

Cause: looked for in the stops that hang beside load: a line that a finalizer logs while its thread holds the queue's lock would hang the thread. The new test did not show it with the old queue either, so it is not proved to be the cause; the standard library says that only this queue may be used so.

--- a/tests/test_log_queue.py
+++ b/tests/test_log_queue.py
@@ -1,5 +1,6 @@
 """Tests of log lines that never block."""
 
+import gc
 import logging
 import threading
 import time
@@ -52,3 +53,37 @@
         lines.handle(make_record(number))
     lines.stop()
     assert len(writer.written) == 50
+
+
+class _LogsWhenCollected:
+    """Garbage whose finalizer logs, as closed answers do."""
+
+    def __init__(self, lines):
+        self._lines = lines
+        self._self = self
+
+    def __del__(self):
+        self._lines.handle(make_record('collected'))
+
+
+def test_a_finalizer_may_log_while_a_line_is_queued():
+    """A collector that ran inside the queue's lock hung the instance."""
+    writer = _Blocked()
+    writer.go_on.set()
+    lines = log_queue.LogQueue(writer, lambda _lost: None)
+    before = gc.get_threshold()
+
+    def log():
+        for number in range(2000):
+            _LogsWhenCollected(lines)
+            lines.handle(make_record(number))
+
+    thread = threading.Thread(target=log, daemon=True)
+    try:
+        gc.set_threshold(1)
+        thread.start()
+        thread.join(20)
+    finally:
+        gc.set_threshold(*before)
+    assert not thread.is_alive()
+    lines.stop()
--- a/wigeonfall/log_queue.py
+++ b/wigeonfall/log_queue.py
@@ -28,29 +28,27 @@
         self._handler = handler
         self._dropped = dropped
         self._lost = 0
-        self._queue: queue.Queue[logging.LogRecord | None] = queue.Queue(
-            QUEUED_LINES
+        # Finalizers log too, at any moment: a queue whose lock cannot be
+        # taken again by the same thread would hang it.
+        self._queue: queue.SimpleQueue[logging.LogRecord | None] = (
+            queue.SimpleQueue()
         )
         self._thread = threading.Thread(target=self._write, daemon=True)
         self._thread.start()
 
     def emit(self, record: logging.LogRecord) -> None:
         """Queue a record; never blocks."""
-        try:
-            self._queue.put_nowait(record)
-        except queue.Full:
+        if self._queue.qsize() >= QUEUED_LINES:
             self._lost += 1
             return
+        self._queue.put(record)
         if self._lost:
             lost, self._lost = self._lost, 0
             self._dropped(lost)
 
     def stop(self) -> None:
         """Write what is queued, for a bounded time."""
-        try:
-            self._queue.put(None, timeout=STOP_S)
-        except queue.Full:
-            return
+        self._queue.put(None)
         self._thread.join(STOP_S)
 
     def _write(self) -> None:
