--- a/wigeonfall/cli.py
+++ b/wigeonfall/cli.py
@@ -48,16 +48,13 @@
     )
     if isinstance(configuration, Err):
         _fail(configuration.err_value)
-    lines = recorder.log_to_stdout(process_settings.log.level)
+    recorder.log_to_stdout(process_settings.log.level)
     try:
         made = assembly.make_process(process_settings, configuration.ok_value)
     except errors.WigeonfallError as error:
         typer.echo(str(error), err=True)
         raise typer.Exit(ExitCode.FAULT) from error
-    try:
-        process.run(made)
-    finally:
-        lines.stop()
+    process.run(made)
 
 
 @app.command('timeline')
--- a/wigeonfall/forwarding/process.py
+++ b/wigeonfall/forwarding/process.py
@@ -48,7 +48,7 @@
         _print_faults(read.err_value)
         return 1
     settings = read.ok_value
-    lines = recorder_module.log_to_stdout(settings.log.level)
+    lines = recorder_module.queue_to_stdout(settings.log.level)
     recorder = recorder_module.Recorder(
         settings.instance.name, clock.HybridClock()
     )
--- a/wigeonfall/recorder.py
+++ b/wigeonfall/recorder.py
@@ -95,25 +95,38 @@
     )
 
 
-def log_to_stdout(level: str) -> log_queue.LogQueue:
-    """Send log records of at least a level to standard output as JSON.
+def log_to_stdout(level: str) -> None:
+    """Send log records of at least a level to standard output as JSON."""
+    _send_to(_make_writer(), level)
+
+
+def queue_to_stdout(level: str) -> log_queue.LogQueue:
+    """Send log records to standard output without ever waiting for it.
 
     Args:
-        level: name of the level.
+        level: name of the lowest level that is sent.
 
     Returns:
         The queue of lines, to be stopped at the end of the process.
     """
+    lines = log_queue.LogQueue(_make_writer(), _say_dropped)
+    _send_to(lines, level)
+    return lines
+
+
+def _make_writer() -> logging.Handler:
     writer = logging.StreamHandler(sys.stdout)
     writer.setFormatter(
         json_logging.JsonFormatter('%(levelname)s %(message)s')
     )
+    return writer
+
+
+def _send_to(handler: logging.Handler, level: str) -> None:
     logger = logging.getLogger('wigeonfall')
-    lines = log_queue.LogQueue(writer, _say_dropped)
-    logger.handlers = [lines]
+    logger.handlers = [handler]
     logger.setLevel(level)
     logger.propagate = False
-    return lines
 
 
 def _say_dropped(lines: int) -> None:
