--- a/wigeonfall/forwarding/exchange.py
+++ b/wigeonfall/forwarding/exchange.py
@@ -137,7 +137,6 @@
     def __init__(self, id_header: bytes) -> None:
         self._id_header = id_header
         self._kept: dict[str, list[Connection]] = {}
-        self.opened = 0
 
     async def send(
         self,
@@ -213,7 +212,6 @@
         except (OSError, ValueError) as error:
             message = f'no connection: {error!r}'
             raise ExchangeError(message, sent=False) from error
-        self.opened += 1
         return connection
 
 
