Test moves to a good and a bad version over sockets

Change: tests with two targets and a store: a failing version gets under a tenth of 200 requests, is taken back in the store and gets nothing more; a good one takes over within its 6 s.

--- a/tests/fakes/forwarding.py
+++ b/tests/fakes/forwarding.py
@@ -165,10 +165,17 @@
     served.answer()
 
 
+def decode_order(entry):
+    """Return the order of an entry, as far as its status says."""
+    state = State((entry.status or {}).get('state', State.RUNNING.value))
+    return Order(entry.name, 's', 'v2', entry.value['duration_s'], state)
+
+
 class Site:
     """One instance, its targets and its store."""
 
-    def __init__(self, *scripts: Script, table=None):
+    def __init__(self, *scripts: Script, table=None, versions=()):
+        self.versions = versions
         self.targets = [
             ScriptedTarget(f't{n}', script) for n, script in enumerate(scripts)
         ]
@@ -214,7 +221,10 @@
         self.events.append((event.name, fields))
 
     def _entry(self, target):
-        return {'target': Target(target.name, 's', 'dc', target.address)}
+        number = self.targets.index(target)
+        version = self.versions[number] if self.versions else ''
+        entry = Target(target.name, 's', 'dc', target.address, version=version)
+        return {'target': entry}
 
     def _outside(self):
         return Outside(
@@ -226,9 +236,7 @@
             targets_kind='targets',
             decode_target=lambda entry: entry.value['target'],
             orders_kind='orders',
-            decode_order=lambda entry: Order(
-                entry.name, 's', 'v2', 10.0, State.RUNNING
-            ),
+            decode_order=decode_order,
             encode_order=lambda _order, state: {'state': state.value},
             instances_kind='instances',
             ready_path=b'/ready',
--- a/tests/forwarding/test_path.py
+++ b/tests/forwarding/test_path.py
@@ -468,6 +468,54 @@
     run(scenario)
 
 
+def test_a_bad_version_is_taken_back_and_gets_nothing_more():
+    async def scenario():
+        async with make_move(fine, fails) as site:
+            site.store.put('orders', 's', {'duration_s': 60.0})
+            await asyncio.sleep(0.3)
+            for n in range(200):
+                await site.ask('/once/x', f'first-{n}', 'POST')
+            await wait_for_state(site, 'taken-back')
+            _, new = site.targets
+            assert 0 < len(new.served) < 0.1 * 200
+            before = len(new.served)
+            for n in range(100):
+                status, _, _ = await site.ask('/once/x', f'n-{n}', 'POST')
+                assert status == 200
+            assert len(new.served) == before
+
+    run(scenario)
+
+
+def test_a_good_version_takes_over_in_its_time():
+    async def scenario():
+        async with make_move(fine, fine) as site:
+            site.store.put('orders', 's', {'duration_s': 6.0})
+            await asyncio.sleep(0.3)
+            for n in range(500):
+                await site.ask('/once/x', f'first-{n}', 'POST')
+            await wait_for_state(site, 'completed')
+            old, _ = site.targets
+            before = len(old.served)
+            for n in range(50):
+                await site.ask('/once/x', f'n-{n}', 'POST')
+            assert len(old.served) == before
+
+    run(scenario)
+
+
+def make_move(*scripts):
+    unlimited = make_customer(tokens_per_s=0.0)
+    table = make_table(customers=(unlimited,))
+    return Site(*scripts, table=table, versions=('v1', 'v2'))
+
+
+async def wait_for_state(site, state):
+    async with asyncio.timeout(8):
+        while site.store.get('orders', 's').status != {'state': state}:
+            await asyncio.sleep(0.05)
+
+
 def test_requests_on_one_connection_are_answered_in_turn():
     async def scenario():
         async with Site(fine) as site:
