Stop also when the signal reaches another thread

Cause: test_stops failed in 4 of 7 runs beside load ('did not stop', no event 103). The main thread waited without a timeout, and only it runs handlers: a signal that the kernel gives to another thread did not end that wait. Ruled out: queued log lines, since it failed without them too. Change: the wait has a period. A test sends SIGTERM to another thread: it hung without the change and passes with it.

--- a/wigeonfall/serving/process.py
+++ b/wigeonfall/serving/process.py
@@ -48,6 +48,16 @@
     record(Event.STOP_FINISHED)
 
 
+def wait_until_asked(stopping: threading.Event) -> None:
+    """Wait until a stop is asked for.
+
+    Handlers of signals run in the main thread alone. A signal that reaches
+    another thread does not end a wait without a timeout.
+    """
+    while not stopping.wait(POLL_S):
+        pass
+
+
 def _ask_to_stop(process: Process) -> None:
     # A handler that sets the event itself can meet its lock held by the code
     # that it interrupts, which waits for that event.
@@ -80,7 +90,7 @@
         callers_address=callers_address,
         operators_address=operators_address,
     )
-    process.stopping.wait()
+    wait_until_asked(process.stopping)
     _stop(process)
 
 
