Test the arbiter's protocol, and let idle instances sleep

Change: loops sleep while nothing waits; what ended is told again twice; tests of the protocol with lost messages, a silent arbiter and limits.

--- /dev/null
+++ b/tests/forwarding/test_arbiter.py
@@ -0,0 +1,353 @@
+"""Tests of places that one instance gives to many."""
+
+import asyncio
+import functools
+import random
+
+import attrs
+import pytest
+
+from wigeonfall.events import Event
+from wigeonfall.forwarding import asks
+from wigeonfall.forwarding.arbiter import Arbiter
+from wigeonfall.forwarding.arbiter import SILENT_S
+from wigeonfall.forwarding.observations import Observations
+from wigeonfall.forwarding.places import Charge
+from wigeonfall.forwarding.places import Parts
+from wigeonfall.forwarding.places import Places
+from wigeonfall.forwarding.places import SUSPECT_S
+from wigeonfall.forwarding.placing import Place
+from wigeonfall.forwarding.placing import Placing
+from wigeonfall.model.target import Target
+from wigeonfall.policy.arbiters import Candidate
+from wigeonfall.policy.room import Rooms
+from wigeonfall.policy.room import Size
+from wigeonfall.policy.token_quota import OverLimit
+from wigeonfall.policy.waiting import Wish
+
+WAY_S = 0.002
+TARGETS = tuple(
+    Target(f't{n}', 's', 'dc', f'10.0.0.{n}:1', slots=4) for n in range(3)
+)
+SLOTS = 12
+
+
+def scenario(function):
+    """Return a test that runs a coroutine function."""
+
+    @functools.wraps(function)
+    def run(*args, **fields):
+        asyncio.run(asyncio.wait_for(function(*args, **fields), 20))
+
+    return run
+
+
+def make_wish(wish_id, rank=0, wait_s=5.0, suits=lambda _name: True):
+    now_s = asyncio.get_running_loop().time()
+    return Wish(
+        wish_id,
+        rank,
+        False,
+        now_s,
+        now_s + 1.0,
+        now_s + 8.0,
+        now_s + 15.0,
+        now_s + wait_s,
+        Size(100, 10),
+        suits,
+    )
+
+
+class Node:
+    """One instance without callers."""
+
+    def __init__(self, net, number):
+        self.net = net
+        self.name = f'i{number:02}'
+        self.rooms = Rooms('dc')
+        self.rooms.set_targets(TARGETS)
+        for target in TARGETS:
+            self.rooms.observed_first(target.name, 0, 0.05, 0.0)
+        names = tuple(target.name for target in TARGETS)
+        self.placing = Placing(
+            self.rooms, lambda _: names, lambda: (), lambda: None
+        )
+        self.tokens = 0.0
+        self.events = []
+        self.observations = Observations(self.rooms)
+        self.places = Places(
+            Parts(
+                name=self.name,
+                incarnation=number,
+                address=self.name,
+                placing=self.placing,
+                observations=self.observations,
+                unsuited=lambda _, wish: {
+                    name for name in names if not wish.suits(name)
+                },
+                candidates=lambda _: net.candidates(),
+                instances=lambda _: len(net.nodes),
+                take=self.take,
+                give_back=self.give_back,
+                send=lambda message, to: net.send(self.name, message, to),
+                record=self.note,
+            )
+        )
+        self.arbiter = Arbiter(
+            self.name,
+            self.rooms,
+            self.placing,
+            self.take,
+            self.give_back,
+            lambda message, to: net.send(self.name, message, to),
+            self.note,
+        )
+
+    def note(self, event, **fields):
+        self.events.append((event, fields))
+
+    def take(self, customer, tokens, returned, now_s):
+        if self.tokens + tokens > 1000:
+            return OverLimit(1.5, self.tokens, 1000)
+        self.tokens += tokens
+        return None
+
+    def give_back(self, customer, tokens):
+        self.tokens -= tokens
+
+    def hear(self, message):
+        if isinstance(message, asks.Asking):
+            now_s = asyncio.get_running_loop().time()
+            self.arbiter.hear(message, now_s)
+        else:
+            self.places.hear(message)
+
+
+class Net:
+    """Instances and the messages between them, some of which are lost."""
+
+    def __init__(self, count, loss=0.0):
+        self.loss = loss
+        self.silent = set()
+        self.sent = 0
+        self._choices = random.Random(1)
+        self.nodes = {}
+        for number in range(count):
+            node = Node(self, number)
+            self.nodes[node.name] = node
+
+    async def __aenter__(self):
+        self._tasks = [
+            asyncio.create_task(loop)
+            for node in self.nodes.values()
+            for loop in (node.placing.tick(), node.places.run())
+        ]
+        await asyncio.sleep(0.02)
+        return self
+
+    async def __aexit__(self, *_exc):
+        for task in self._tasks:
+            task.cancel()
+
+    def __getitem__(self, number):
+        return self.nodes[f'i{number:02}']
+
+    def candidates(self):
+        return [
+            Candidate(name, name, 'dc', 1.0, 60.0) for name in self.nodes
+        ]
+
+    def send(self, sender, message, to):
+        self.sent += 1
+        if {sender, to} & self.silent or self._choices.random() < self.loss:
+            return
+        data = asks.encode(message)
+        asyncio.get_running_loop().call_later(
+            WAY_S, lambda: self.nodes[to].hear(asks.decode(data))
+        )
+
+    def outstanding(self):
+        return sum(room.own for room in self[0].rooms.all())
+
+
+async def ask(node, wish, charge=None):
+    return await node.places.acquire('s', wish, charge)
+
+
+@scenario
+async def test_one_instance_places_the_requests_of_all():
+    async with Net(20) as net:
+        place = await ask(net[5], make_wish('r1'))
+        assert isinstance(place, Place)
+        assert net[5].places.arbiter == 'i00'
+        assert net.outstanding() == 1
+        net[5].places.release('s', place)
+        await asyncio.sleep(0.05)
+        assert net.outstanding() == 0
+
+
+@scenario
+async def test_few_instances_have_no_arbiter():
+    async with Net(3) as net:
+        assert isinstance(await ask(net[2], make_wish('r1')), Place)
+        assert net[2].places.arbiter == ''
+        assert net.sent == 0
+
+
+@pytest.mark.parametrize('loss', (0.0, 0.2))
+@scenario
+async def test_targets_are_never_overfull_and_urgent_work_goes_first(loss):
+    """Load pattern: dozens of instances ask for more than all targets run."""
+    async with Net(30, loss) as net:
+        running, most, order = 0, 0, []
+
+        async def call(number, rank):
+            nonlocal running, most
+            node = net[number % 30]
+            wish = make_wish(f'r{number}', rank)
+            place = await ask(node, wish)
+            order.append(rank)
+            running += 1
+            most = max(most, running)
+            node.places.began(place)
+            await asyncio.sleep(0.05)
+            running -= 1
+            node.places.release('s', place)
+
+        calls = [asyncio.create_task(call(n, 0)) for n in range(SLOTS)]
+        await asyncio.sleep(0.3 if loss else 0.02)
+        calls += [
+            asyncio.create_task(call(20 + n, 1 - n % 2)) for n in range(60)
+        ]
+        await asyncio.gather(*calls)
+        assert most <= SLOTS
+        if not loss:
+            assert order[SLOTS : 3 * SLOTS] == [0] * 2 * SLOTS
+        # The last message of an instance may be lost, also when repeated.
+        await asyncio.sleep(SUSPECT_S + SILENT_S if loss else 0.1)
+        net[0].arbiter.sweep(asyncio.get_running_loop().time())
+        assert net.outstanding() == 0
+
+
+@scenario
+async def test_a_silent_arbiter_is_left_for_the_next():
+    """Load pattern: the arbiter is frozen or cut off while requests wait."""
+    async with Net(20) as net:
+        first = await ask(net[5], make_wish('r1'))
+        net.silent.add('i00')
+        began_s = asyncio.get_running_loop().time()
+        second = await ask(net[5], make_wish('r2'))
+        took_s = asyncio.get_running_loop().time() - began_s
+        assert isinstance(second, Place)
+        assert net[5].places.arbiter == 'i01'
+        assert took_s < 0.35
+        await asyncio.sleep(0.05)
+        rooms = net[1].rooms.all()
+        assert sum(room.own for room in rooms) == 2
+        net[5].places.release('s', first)
+        net[5].places.release('s', second)
+        await asyncio.sleep(0.05)
+        assert sum(room.own for room in rooms) == 0
+
+
+@scenario
+async def test_without_any_arbiter_an_instance_places_alone():
+    async with Net(20) as net:
+        net.silent.update(net.nodes)
+        place = await ask(net[5], make_wish('r1'))
+        assert isinstance(place, Place)
+
+
+@scenario
+async def test_what_a_silent_instance_held_is_free_again():
+    async with Net(20) as net:
+        await ask(net[5], make_wish('r1'))
+        await asyncio.sleep(0.02)
+        now_s = asyncio.get_running_loop().time()
+        net[0].arbiter.sweep(now_s)
+        assert net.outstanding() == 1
+        net[0].arbiter.sweep(now_s + SILENT_S + 0.1)
+        assert net.outstanding() == 0
+        assert net[0].events[-1][0] is Event.CLIENT_GIVEN_UP
+
+
+@scenario
+async def test_a_caller_that_leaves_while_it_waits_leaves_nothing_behind():
+    async with Net(20) as net:
+        places = [await ask(net[5], make_wish(f'r{n}')) for n in range(SLOTS)]
+        charge = Charge('c', 10.0, False)
+        call = asyncio.create_task(ask(net[6], make_wish('late'), charge))
+        await asyncio.sleep(0.03)
+        assert len(net[0].placing.waiting()) == 1
+        assert net[0].tokens == 10.0
+        call.cancel()
+        await asyncio.sleep(0.03)
+        assert net[0].placing.waiting() == {}
+        assert net[0].tokens == 0.0
+        net[5].places.release('s', places[0])
+        await asyncio.sleep(0.03)
+        assert net.outstanding() == SLOTS - 1
+
+
+@scenario
+async def test_a_limit_counts_what_all_instances_admit():
+    async with Net(20) as net:
+        charge = Charge('c', 400.0, False)
+        outcomes = [
+            await ask(net[3 + n], make_wish(f'r{n}'), charge)
+            for n in range(3)
+        ]
+        assert [isinstance(o, Place) for o in outcomes] == [True, True, False]
+        assert outcomes[2] == OverLimit(1.5, 800.0, 1000.0)
+        net[3].places.give_back(charge)
+        net[3].places.release('s', outcomes[0])
+        await asyncio.sleep(0.03)
+        assert net[0].tokens == 400.0
+
+
+@scenario
+async def test_no_room_in_time_gives_the_tokens_back():
+    async with Net(20) as net:
+        for n in range(SLOTS):
+            await ask(net[5], make_wish(f'r{n}'))
+        charge = Charge('c', 10.0, False)
+        wish = make_wish('late', wait_s=0.1)
+        assert await ask(net[6], wish, charge) is None
+        assert net[0].tokens == 0.0
+
+
+@scenario
+async def test_a_target_that_is_not_known_here_is_not_used():
+    """Load pattern: the arbiter hears of a new target first."""
+    async with Net(20) as net:
+        net[5].rooms.set_targets(TARGETS[:1])
+        places = [await ask(net[5], make_wish(f'r{n}')) for n in range(4)]
+        assert {place.target.name for place in places} == {'t0'}
+        await asyncio.sleep(0.05)
+        assert net.outstanding() == 4
+
+
+@scenario
+async def test_the_arbiter_learns_what_others_see():
+    async with Net(20) as net:
+        place = await ask(net[5], make_wish('r1'))
+        name = place.target.name
+        now_s = asyncio.get_running_loop().time()
+        net[5].observations.broken(name, now_s)
+        net[5].places.release('s', place)
+        await asyncio.sleep(0.03)
+        (room,) = net[0].rooms.of((name,))
+        assert room.suspicions == 1
+
+
+@scenario
+async def test_a_restarted_instance_gives_up_what_it_held_before():
+    async with Net(20) as net:
+        await ask(net[5], make_wish('r1'))
+        await asyncio.sleep(0.02)
+        message = asks.Asking('i05', 99, 1, 'i05', (), (), ())
+        now_s = asyncio.get_running_loop().time()
+        net[0].arbiter.hear(message, now_s)
+        assert net.outstanding() == 0
+        older = attrs.evolve(message, sequence=0)
+        net[0].arbiter.hear(older, now_s)
--- /dev/null
+++ b/tests/forwarding/test_asks.py
@@ -0,0 +1,78 @@
+"""Tests of the messages between instances and their arbiter."""
+
+from hypothesis import given
+from hypothesis import strategies
+import pytest
+
+from wigeonfall.forwarding import asks
+
+FIGURES = strategies.floats(0, 1e6, allow_nan=False)
+TEXTS = strategies.text(max_size=20)
+ASKS = strategies.builds(
+    asks.Ask,
+    id=TEXTS,
+    service=TEXTS,
+    rank=strategies.integers(0, 99),
+    returned=strategies.booleans(),
+    age_s=FIGURES,
+    goal_s=FIGURES,
+    patience_s=FIGURES,
+    left_s=FIGURES,
+    wait_s=FIGURES,
+    prompt_tokens=FIGURES,
+    answer_tokens=FIGURES,
+    unsuited=strategies.lists(TEXTS, max_size=3).map(tuple),
+    customer=TEXTS,
+    tokens=FIGURES,
+    retried=strategies.booleans(),
+)
+HELD = strategies.builds(
+    asks.Held, TEXTS, TEXTS, TEXTS, FIGURES, strategies.booleans()
+)
+REPORTS = strategies.builds(
+    asks.Report,
+    TEXTS,
+    TEXTS,
+    strategies.lists(FIGURES, max_size=2).map(tuple),
+)
+GRANTS = strategies.builds(
+    asks.Grant, TEXTS, TEXTS, FIGURES, strategies.integers(0, 99)
+)
+DENIALS = strategies.builds(
+    asks.Denial, TEXTS, strategies.booleans(), FIGURES, FIGURES, FIGURES
+)
+
+
+def tuples(items):
+    return strategies.lists(items, max_size=3).map(tuple)
+
+
+@given(tuples(ASKS), tuples(HELD), tuples(REPORTS))
+def test_what_is_asked_arrives_unchanged(asked, held, reports):
+    message = asks.Asking('i1', 7, 3, '10.0.0.1:1', asked, held, reports)
+    assert asks.decode(asks.encode(message)) == message
+
+
+@given(tuples(GRANTS), tuples(DENIALS))
+def test_what_is_answered_arrives_unchanged(grants, denials):
+    message = asks.Answering('i1', 7, grants, denials)
+    data = asks.encode(message)
+    assert data.startswith(asks.MARK)
+    assert asks.decode(data) == message
+
+
+@pytest.mark.parametrize(
+    'data',
+    (b'[', b'[]', b'["asking"]', b'["else",1]', b'["answering",1,2,3,4]'),
+)
+def test_other_bytes_are_no_message(data):
+    with pytest.raises(ValueError):
+        asks.decode(data)
+
+
+@given(strategies.binary(max_size=200))
+def test_any_bytes_are_a_message_or_a_value_error(data):
+    try:
+        asks.decode(b'[' + data)
+    except ValueError:
+        pass
--- /dev/null
+++ b/tests/policy/test_arbiters.py
@@ -0,0 +1,49 @@
+"""Tests of the choice of the arbiter."""
+
+import attrs
+
+from wigeonfall.policy import arbiters
+from wigeonfall.policy.arbiters import Candidate
+
+
+def make_candidate(name, data_center='dc', capacity=0.5, age_s=60.0):
+    return Candidate(name, f'{name}:1', data_center, capacity, age_s)
+
+
+def names(candidates):
+    return [hub.name for hub in arbiters.hubs(candidates)]
+
+
+def test_the_strongest_of_each_data_center_come_first():
+    """Load pattern: a data centre is cut off and needs its own arbiter."""
+    candidates = [
+        make_candidate('a1', 'a', 2.0),
+        make_candidate('a2', 'a', 2.0),
+        make_candidate('b1', 'b', 0.5),
+        make_candidate('b2', 'b', 1.0),
+        make_candidate('c1', 'c', 0.6),
+    ]
+    assert names(candidates) == ['a1', 'b2', 'c1', 'a2']
+    assert names(reversed(candidates)) == ['a1', 'b2', 'c1', 'a2']
+
+
+def test_new_and_leaving_instances_come_last():
+    new = make_candidate('new', capacity=2.0, age_s=0.5)
+    leaving = attrs.evolve(
+        make_candidate('leaving', capacity=2.0), leaving=True
+    )
+    old = make_candidate('old')
+    assert names([new, leaving, old])[0] == 'old'
+
+
+def test_all_who_hear_the_hubs_choose_the_same():
+    """An ordinary instance hears the hubs alone, and knows itself."""
+    candidates = [
+        make_candidate(f'{data_center}{n}', data_center, capacity)
+        for data_center in 'abc'
+        for n, capacity in enumerate((2.0, 1.0, 0.5, 0.5, 0.5))
+    ]
+    chosen = arbiters.hubs(candidates)
+    for candidate in candidates:
+        if candidate not in chosen:
+            assert arbiters.hubs([*chosen, candidate]) == chosen
--- a/wigeonfall/forwarding/asks.py
+++ b/wigeonfall/forwarding/asks.py
@@ -46,7 +46,7 @@
     wait_s: float
     prompt_tokens: float
     answer_tokens: float
-    unsuited: tuple[str, ...]
+    unsuited: tuple[str, ...] = attrs.field(converter=tuple)
     customer: str
     tokens: float
     retried: bool
@@ -83,7 +83,7 @@
 
     kind: str
     name: str
-    values: tuple[float, ...]
+    values: tuple[float, ...] = attrs.field(converter=tuple)
 
 
 @attrs.frozen
@@ -202,10 +202,7 @@
         address,
         tuple(Ask(*ask) for ask in asks),
         tuple(Held(*place) for place in held),
-        tuple(
-            Report(kind, about, tuple(values))
-            for kind, about, values in reports
-        ),
+        tuple(Report(*report) for report in reports),
     )
 
 
--- /dev/null
+++ b/wigeonfall/forwarding/fleet.py
@@ -0,0 +1,92 @@
+"""The instances as one of them sees them: how many, and who places for all."""
+
+from collections.abc import Callable
+
+import attrs
+
+from ..policy import arbiters
+from ..policy.arbiters import Candidate
+from ..policy import token_quota
+from .peers import Peers
+from .settings import ForwardingSettings
+
+
+@attrs.define
+class Fleet:
+    """This instance among its peers.
+
+    Attributes:
+        settings: returns the settings in force.
+        peers: the peers of this instance.
+        started_s: its start, on the monotonic clock.
+        leaving: whether it stops.
+    """
+
+    settings: Callable[[], ForwardingSettings]
+    peers: Peers
+    started_s: float
+    leaving: bool = False
+
+    @property
+    def name(self) -> str:
+        """Name of this instance."""
+        return self.settings().instance.name
+
+    @property
+    def data_center(self) -> str:
+        """Where this instance stands."""
+        return self.settings().instance.data_center
+
+    @property
+    def capacity(self) -> float:
+        """Processors that this instance may use."""
+        machine = self.settings().machine
+        return machine.processor_share * machine.processor_speed
+
+    def many(self, now_s: float) -> bool:
+        """Whether there are too many instances to tell each other all."""
+        return self.peers.instances(now_s) > arbiters.MESH_MOST
+
+    def candidates(self, now_s: float) -> list[Candidate]:
+        """Return all that may be the arbiter, this instance included."""
+        own = Candidate(
+            self.name,
+            self.settings().listen.peers_address,
+            self.data_center,
+            self.capacity,
+            now_s - self.started_s,
+            self.leaving,
+        )
+        return [own, *self.peers.candidates(now_s)]
+
+    def addresses(self, now_s: float) -> tuple[str, ...]:
+        """Return where this instance's state goes.
+
+        Whoever hears of few others takes itself for a hub and tells all, so
+        that new hubs are found when the old ones are gone together.
+        """
+        if not self.many(now_s):
+            return self.peers.addresses()
+        hubs = arbiters.hubs(self.candidates(now_s))
+        if any(hub.name == self.name for hub in hubs):
+            return self.peers.addresses()
+        return tuple(hub.address for hub in hubs)
+
+    def told_peers(self, now_s: float) -> tuple[str, ...]:
+        """Return the addresses that peers are told of."""
+        if self.many(now_s):
+            hubs = arbiters.hubs(self.candidates(now_s))
+            return tuple(hub.address for hub in hubs)
+        return tuple(p.message.address for p in self.peers.heard(now_s))
+
+    def hearing(self, now_s: float) -> token_quota.Hearing:
+        """Return whose use of limits is known."""
+        own_age_s = now_s - self.started_s
+        young = self.peers.young_share(token_quota.WINDOW_S, own_age_s, now_s)
+        if not self.many(now_s):
+            return token_quota.Hearing(self.peers.heard_names(now_s), young)
+        return token_quota.Hearing(
+            self.peers.known_names(now_s),
+            young,
+            self.peers.reach(self.data_center, now_s),
+        )
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -18,8 +18,6 @@
 from . import path as path_module
 from . import peers as peers_module
 from . import places as places_module
-from ..policy import arbiters
-from ..policy.arbiters import Candidate
 from ..policy import resend_budget
 from ..policy.room import Rooms
 from ..policy.room import TargetLoad
@@ -38,6 +36,7 @@
 from .callers import Call
 from .callers import Reply
 from .exchange import TargetConnections
+from .fleet import Fleet
 from .moves import Moves
 from .observations import Observations
 from .outside import Outside
@@ -73,6 +72,9 @@
         self._quotas = token_quota.TokenQuotas(self._started_s)
         self._peers = peers_module.Peers(settings.listen.peers_address)
         self._peers.learn(_seed_addresses(settings))
+        self._fleet = Fleet(
+            lambda: self._settings, self._peers, self._started_s
+        )
         self._connections = TargetConnections(outside.names.request_id.lower())
         self._placing = Placing(
             self._rooms,
@@ -103,10 +105,10 @@
         self._incarnation = random.getrandbits(53)
         self._link = peers_module.PeerLink(
             make=self._message,
-            addresses=self._message_addresses,
+            addresses=lambda: self._fleet.addresses(time.monotonic()),
             take=self._hear,
             take_other=self._hear_of_requests,
-            at_once=lambda: not self._many(time.monotonic()),
+            at_once=lambda: not self._fleet.many(time.monotonic()),
             record=record,
         )
         self._observations = Observations(self._rooms)
@@ -123,7 +125,6 @@
         self._heard: frozenset[str] = frozenset()
         self._sequence = 0
         self._leaving = False
-        self._stepping_down = False
         self._store_reachable = {kind: True for kind in kinds}
         self._path = path_module.Path(self._path_parts())
 
@@ -205,7 +206,7 @@
 
     def step_down(self) -> None:
         """Let others be the arbiter from now on."""
-        self._stepping_down = True
+        self._fleet.leaving = True
         self._link.send()
 
     def stood_still(self) -> None:
@@ -270,40 +271,14 @@
                 for name in self._names.get(service, ())
                 if not wish.suits(name)
             },
-            candidates=self._candidates,
+            candidates=self._fleet.candidates,
+            instances=self._peers.instances,
             take=self._take_tokens,
             give_back=self._give_tokens_back,
             send=self._link.tell,
             record=self.record,
         )
 
-    def _candidates(self, now_s: float) -> tuple[list[Candidate], int]:
-        settings = self._settings
-        own = Candidate(
-            settings.instance.name,
-            settings.listen.peers_address,
-            settings.instance.data_center,
-            _capacity(settings),
-            now_s - self._started_s,
-            self._stepping_down,
-        )
-        peers = self._peers.candidates(now_s)
-        return [own, *peers], self._peers.instances(now_s)
-
-    def _many(self, now_s: float) -> bool:
-        """Whether there are too many instances to tell each other all."""
-        return self._peers.instances(now_s) > arbiters.MESH_MOST
-
-    def _message_addresses(self) -> tuple[str, ...]:
-        """Return where this instance's state goes."""
-        now_s = time.monotonic()
-        if not self._many(now_s):
-            return self._peers.addresses()
-        hubs = arbiters.hubs(self._candidates(now_s)[0])
-        if any(hub.name == self._settings.instance.name for hub in hubs):
-            return self._peers.addresses()
-        return tuple(hub.address for hub in hubs)
-
     def _take_tokens(
         self, customer: str, tokens: float, returned: bool, now_s: float
     ) -> token_quota.OverLimit | None:
@@ -311,19 +286,7 @@
         if holder is None:
             return None
         return self._quotas.take(
-            holder, tokens, returned, self._hearing(now_s), now_s
-        )
-
-    def _hearing(self, now_s: float) -> token_quota.Hearing:
-        peers = self._peers
-        own_age_s = now_s - self._started_s
-        young = peers.young_share(token_quota.WINDOW_S, own_age_s, now_s)
-        if not self._many(now_s):
-            return token_quota.Hearing(peers.heard_names(now_s), young)
-        return token_quota.Hearing(
-            peers.known_names(now_s),
-            young,
-            peers.reach(self._settings.instance.data_center, now_s),
+            holder, tokens, returned, self._fleet.hearing(now_s), now_s
         )
 
     def _give_tokens_back(self, customer: str, tokens: float) -> None:
@@ -438,11 +401,11 @@
             taken=self._quotas.taken(),
             used=self._quotas.used(now_s),
             revisions=self._view.revisions(),
-            peers=tuple(address for address in self._told_peers(now_s)),
+            peers=self._fleet.told_peers(now_s),
             data_center=self._settings.instance.data_center,
-            capacity=_capacity(self._settings),
+            capacity=self._fleet.capacity,
             instances=self._peers.known(now_s),
-            leaving=self._stepping_down,
+            leaving=self._fleet.leaving,
             evidence=self._moves.trials.evidence.own(),
         )
 
@@ -452,7 +415,7 @@
         With an arbiter, that one counts what all have outstanding; of others
         it needs nothing here, and they need what it learned.
         """
-        if not self._many(now_s):
+        if not self._fleet.many(now_s):
             return self._rooms.load(now_s)
         if self._places.arbiter:
             return {}
@@ -461,12 +424,6 @@
             for name, load in self._rooms.load(now_s).items()
         }
 
-    def _told_peers(self, now_s: float) -> tuple[str, ...]:
-        if self._many(now_s):
-            hubs = arbiters.hubs(self._candidates(now_s)[0])
-            return tuple(hub.address for hub in hubs)
-        return tuple(p.message.address for p in self._peers.heard(now_s))
-
     def _hear_of_requests(self, message: Asking | Answering) -> None:
         if isinstance(message, Answering):
             self._places.hear(message)
@@ -488,7 +445,7 @@
         self._moves.trials.evidence.hear(
             message.name, message.incarnation, message.evidence
         )
-        if not self._many(now_s):
+        if not self._fleet.many(now_s):
             self._rooms.set_peers(self._peers.loads(now_s))
             self._placing.pump_all()
 
@@ -501,11 +458,6 @@
         await self._link.run()
 
 
-def _capacity(settings: ForwardingSettings) -> float:
-    machine = settings.machine
-    return machine.processor_share * machine.processor_speed
-
-
 def _seed_addresses(settings: ForwardingSettings) -> tuple[str, ...]:
     """Return where seeds take datagrams: ports are the same everywhere."""
     port = settings.listen.peers_address.rpartition(':')[2]
--- a/wigeonfall/forwarding/places.py
+++ b/wigeonfall/forwarding/places.py
@@ -28,8 +28,10 @@
 
 FLUSH_S = 0.003  # what happens within this time is told at once
 TICK_S = 0.02
+IDLE_TICK_S = 0.1  # while nothing waits for an answer
 AGAIN_S = 0.06  # without an answer, twice the longest way there and back
 REPEAT_S = 0.25  # what is held is told at least so often
+END_REPEATS = 2  # that nothing is held any more, as datagrams are lost
 SILENT_S = 0.2  # after a question; far below the goals of callers
 SUSPECT_S = 1.0  # for which a silent arbiter gets no questions
 
@@ -79,8 +81,8 @@
         placing: the waits of this instance.
         observations: what it sees of targets.
         unsuited: returns the targets that a wish may not get.
-        candidates: returns all that may be the arbiter, this included, and
-            the number of instances.
+        candidates: returns all that may be the arbiter, this included.
+        instances: returns the number of instances.
         take: takes tokens of a customer; returns None if they may run.
         give_back: returns tokens of requests that did not run.
         send: sends a message to an address.
@@ -93,7 +95,8 @@
     placing: Placing
     observations: Observations
     unsuited: Callable[[str, Wish], set[str]]
-    candidates: Callable[[float], tuple[list[Candidate], int]]
+    candidates: Callable[[float], list[Candidate]]
+    instances: Callable[[float], int]
     take: Callable[[str, float, bool, float], OverLimit | None]
     give_back: Callable[[str, float], None]
     send: Callable[[Asking, str], None]
@@ -116,6 +119,8 @@
         self._sequence = 0
         self._sent_s = 0.0
         self._asked_s: float | None = None
+        self._repeats = 0
+        self._asked = asyncio.Event()
         self._flush: asyncio.TimerHandle | None = None
 
     @property
@@ -185,7 +190,13 @@
         """Choose the arbiter and repeat what it may have missed."""
         while True:
             self.tick(time.monotonic())
-            await asyncio.sleep(TICK_S)
+            period_s = TICK_S if self._waiting else IDLE_TICK_S
+            try:
+                async with asyncio.timeout(period_s):
+                    await self._asked.wait()
+            except TimeoutError:
+                pass
+            self._asked.clear()
 
     def tick(self, now_s: float) -> None:
         """Choose the arbiter and repeat what is due, as of now."""
@@ -198,7 +209,7 @@
             return
         unheard = self._asked_s is not None
         period_s = AGAIN_S if unheard else REPEAT_S
-        if now_s - self._sent_s >= period_s and (self._waiting or self._held):
+        if now_s - self._sent_s >= period_s and self._repeats:
             self._tell(now_s)
 
     def _choose(self, now_s: float) -> None:
@@ -216,6 +227,7 @@
             waiting=len(self._waiting),
         )
         self._asked_s = None
+        self._repeats = END_REPEATS
         self._parts.observations.set_reporting(arbiter is not None)
         if arbiter is None:
             for waiting in self._waiting.values():
@@ -226,15 +238,14 @@
 
     def _first(self, now_s: float) -> Candidate | None:
         """Return the arbiter to ask, None if this instance asks nobody."""
-        candidates, instances = self._parts.candidates(now_s)
-        if instances <= arbiters.MESH_MOST:
+        if self._parts.instances(now_s) <= arbiters.MESH_MOST:
             return None
         self._suspects = {
             name: until_s
             for name, until_s in self._suspects.items()
             if until_s > now_s
         }
-        for candidate in arbiters.hubs(candidates):
+        for candidate in arbiters.hubs(self._parts.candidates(now_s)):
             if candidate.name == self._parts.name:
                 return None
             if candidate.name not in self._suspects:
@@ -253,6 +264,7 @@
             loop.create_future(),
         )
         self._waiting[wish.id] = waiting
+        self._asked.set()
         self._flush_soon()
         try:
             return await waiting.future
@@ -332,6 +344,7 @@
             if not waiting.future.done()
         )
         self._sequence += 1
+        repeats = max(0, self._repeats - 1)
         message = Asking(
             name=self._parts.name,
             incarnation=self._parts.incarnation,
@@ -351,6 +364,7 @@
             reports=self._parts.observations.fetch(),
         )
         self._sent_s = now_s
+        self._repeats = END_REPEATS if asks or self._held else repeats
         if asks and self._asked_s is None:
             self._asked_s = now_s
         self._parts.send(message, self._arbiter.address)
--- a/wigeonfall/forwarding/placing.py
+++ b/wigeonfall/forwarding/placing.py
@@ -68,6 +68,7 @@
         self._queues: dict[str, Queue] = {}
         self._futures: dict[str, asyncio.Future[Place | None]] = {}
         self._pumps: dict[str, asyncio.TimerHandle] = {}
+        self._busy = asyncio.Event()
 
     def waiting(self) -> dict[str, dict[int, int]]:
         """Return the number of waiting requests by service and class."""
@@ -102,6 +103,7 @@
         self._futures[wish.id] = future
         future.add_done_callback(lambda _: self._futures.pop(wish.id, None))
         queue.add(wish)
+        self._busy.set()
         if len(queue) > CROWD:
             self._pump_soon(service)
         else:
@@ -191,10 +193,13 @@
             self.pump(service)
 
     async def tick(self) -> None:
-        """Pump again and again, until cancelled."""
+        """Pump again and again while anything waits, until cancelled."""
         while True:
+            await self._busy.wait()
             await asyncio.sleep(TICK_S)
             self.pump_all()
+            if not any(len(queue) for queue in self._queues.values()):
+                self._busy.clear()
 
     def _pump_soon(self, service: str) -> None:
         """Place what waits in a short while, once for all that comes."""
