--- a/tests/forwarding/test_arbiter.py
+++ b/tests/forwarding/test_arbiter.py
@@ -8,9 +8,9 @@
 import pytest
 
 from wigeonfall.events import Event
-from wigeonfall.forwarding import asks
 from wigeonfall.forwarding.arbiter import Arbiter
 from wigeonfall.forwarding.arbiter import SILENT_S
+from wigeonfall.forwarding import asks
 from wigeonfall.forwarding.observations import Observations
 from wigeonfall.forwarding.places import Charge
 from wigeonfall.forwarding.places import Parts
@@ -153,9 +153,7 @@
         return self.nodes[f'i{number:02}']
 
     def candidates(self):
-        return [
-            Candidate(name, name, 'dc', 1.0, 60.0) for name in self.nodes
-        ]
+        return [Candidate(name, name, 'dc', 1.0, 60.0) for name in self.nodes]
 
     def send(self, sender, message, to):
         self.sent += 1
@@ -294,8 +292,7 @@
     async with Net(20) as net:
         charge = Charge('c', 400.0, False)
         outcomes = [
-            await ask(net[3 + n], make_wish(f'r{n}'), charge)
-            for n in range(3)
+            await ask(net[3 + n], make_wish(f'r{n}'), charge) for n in range(3)
         ]
         assert [isinstance(o, Place) for o in outcomes] == [True, True, False]
         assert outcomes[2] == OverLimit(1.5, 800.0, 1000.0)
--- a/tests/forwarding/test_store_view.py
+++ b/tests/forwarding/test_store_view.py
@@ -11,7 +11,12 @@
 
 def make_view():
     changed = []
-    return StoreView(('k', 'l'), changed.append), changed
+
+    def note(kind):
+        changed.append(kind)
+        return True
+
+    return StoreView(('k', 'l'), note), changed
 
 
 def stored(name, version, value=None):
@@ -54,3 +59,25 @@
     later.take_listing('k', Listing((stored('c', 12),), 12))
     assert later.take_snapshot(snapshot) == []
     assert names(later) == {'c'}
+
+
+def test_peers_hear_only_of_changes_that_matter():
+    """Load pattern: targets report their state several times a second."""
+    matters = [True, False, True]
+    view = StoreView(('k',), lambda _kind: matters.pop(0))
+    view.take_listing('k', Listing((stored('a', 3),), 9))
+    assert view.noted() == {'k': 3}
+    for version in (10, 11):
+        change = Change(stored('a', version, {'n': version}), False)
+        view.take_changes('k', Changes((change,), version))
+    assert view.noted() == {'k': 11}
+    assert matters == []
+
+
+def test_a_snapshot_of_one_kind_leaves_the_others_alone():
+    view, _ = make_view()
+    view.take_listing('k', Listing((stored('a', 3),), 9))
+    view.take_listing('l', Listing((stored('b', 4),), 9))
+    other, _ = make_view()
+    assert other.take_snapshot(view.snapshot(('l',))) == ['l']
+    assert other.revisions() == {'k': 0, 'l': 4}
--- a/tests/forwarding/test_watching.py
+++ b/tests/forwarding/test_watching.py
@@ -13,8 +13,9 @@
 
     def __init__(self):
         self.store = MemoryObjects()
-        self.view = StoreView(('k',), lambda _kind: None)
+        self.view = StoreView(('k',), lambda _kind: True)
         self.reachable = []
+        self.wanted = True
         self.stopping = threading.Event()
         watching.start(
             watching.Watcher(
@@ -23,6 +24,7 @@
                 listed=self.view.take_listing,
                 changed=self.view.take_changes,
                 reachable=self.reachable.append,
+                wanted=lambda: self.wanted,
                 record=lambda *_args, **_fields: None,
                 stopping=self.stopping,
             )
@@ -83,3 +85,23 @@
         assert watch.store.calls - before <= 1
     finally:
         watch.stopping.set()
+
+
+def test_an_instance_that_hears_from_peers_makes_no_calls():
+    """Load pattern: dozens of instances and a store whose calls are dear."""
+    watch = _Watch()
+    try:
+        watch.store.put('k', 'a', {})
+        watch.wait_for({'a'})
+        watch.wanted = False
+        watch.store.put('k', 'b', {})
+        watch.wait_for({'a', 'b'})
+        time.sleep(0.1)
+        calls = watch.store.calls
+        watch.store.put('k', 'c', {})
+        time.sleep(0.6)
+        assert watch.store.calls == calls
+        watch.wanted = True
+        watch.wait_for({'a', 'b', 'c'})
+    finally:
+        watch.stopping.set()
--- a/wigeonfall/forwarding/asks.py
+++ b/wigeonfall/forwarding/asks.py
@@ -5,6 +5,7 @@
 lost observation.
 """
 
+from collections.abc import Iterable
 import json
 from typing import Any
 
@@ -13,6 +14,14 @@
 MARK = b'['  # first byte; the state of peers is compressed and begins else
 
 
+def _texts(values: Iterable[str]) -> tuple[str, ...]:
+    return tuple(values)
+
+
+def _figures(values: Iterable[float]) -> tuple[float, ...]:
+    return tuple(values)
+
+
 @attrs.frozen
 class Ask:
     """A request that wants a place.
@@ -46,7 +55,7 @@
     wait_s: float
     prompt_tokens: float
     answer_tokens: float
-    unsuited: tuple[str, ...] = attrs.field(converter=tuple)
+    unsuited: tuple[str, ...] = attrs.field(converter=_texts)
     customer: str
     tokens: float
     retried: bool
@@ -83,7 +92,7 @@
 
     kind: str
     name: str
-    values: tuple[float, ...] = attrs.field(converter=tuple)
+    values: tuple[float, ...] = attrs.field(converter=_figures)
 
 
 @attrs.frozen
--- a/wigeonfall/forwarding/catching_up.py
+++ b/wigeonfall/forwarding/catching_up.py
@@ -1,6 +1,11 @@
-"""Asks peers for changes that the store's watches do not bring."""
+"""Asks peers for changes that the store's watches do not bring.
+
+Instances that do not watch the store hear of all changes in this way, from a
+peer in their own data centre if one has them.
+"""
 
 import asyncio
+from collections.abc import Callable
 import random
 import time
 
@@ -27,12 +32,16 @@
         peers: the peers of this instance.
         view: what it knows of the store.
         connections: connections of this instance.
+        data_center: where this instance stands.
+        watching: returns whether this instance watches the store.
         record: records events.
     """
 
     peers: Peers
     view: StoreView
     connections: TargetConnections
+    data_center: str
+    watching: Callable[[], bool]
     record: Record
 
 
@@ -43,11 +52,17 @@
         await asyncio.sleep(PERIOD_S)
         ahead = _ahead(parts, time.monotonic())
         behind_s = behind_s + PERIOD_S if ahead else 0.0
-        if behind_s >= AFTER_S:
-            await _fetch(parts, random.choice(ahead))
+        if behind_s >= (AFTER_S if parts.watching() else PERIOD_S):
+            await _fetch(parts, _nearest(parts, ahead))
             behind_s = 0.0
 
 
+def _nearest(parts: CatchingUp, ahead: list[Message]) -> Message:
+    """Return one of the peers, if possible from this data centre."""
+    near = [m for m in ahead if m.data_center == parts.data_center]
+    return random.choice(near or ahead)
+
+
 def _ahead(parts: CatchingUp, now_s: float) -> list[Message]:
     """Return the messages of peers that know newer changes."""
     revisions = parts.view.revisions()
@@ -62,9 +77,18 @@
 
 
 async def _fetch(parts: CatchingUp, message: Message) -> None:
+    revisions = parts.view.revisions()
+    behind = [
+        kind
+        for kind, revision in revisions.items()
+        if message.revisions.get(kind, 0) > revision
+    ]
+    path = internal.SNAPSHOT_PATH
+    if len(behind) == 1:
+        path = internal.snapshot_path(behind[0])
     try:
         value = await internal.fetch_snapshot(
-            parts.connections, message.address
+            parts.connections, message.address, path
         )
         kinds = parts.view.take_snapshot(value)
     except (ExchangeError, KeyError, TypeError) as error:
--- a/wigeonfall/forwarding/fleet.py
+++ b/wigeonfall/forwarding/fleet.py
@@ -1,6 +1,7 @@
 """The instances as one of them sees them: how many, and who places for all."""
 
 from collections.abc import Callable
+import random
 
 import attrs
 
@@ -10,6 +11,8 @@
 from .peers import Peers
 from .settings import ForwardingSettings
 
+ALONE_S = (1.0, 6.0)  # a short outage ends before most have tried
+
 
 @attrs.define
 class Fleet:
@@ -26,6 +29,7 @@
     peers: Peers
     started_s: float
     leaving: bool = False
+    _alone_s: float | None = None
 
     @property
     def name(self) -> str:
@@ -67,11 +71,39 @@
         """
         if not self.many(now_s):
             return self.peers.addresses()
-        hubs = arbiters.hubs(self.candidates(now_s))
-        if any(hub.name == self.name for hub in hubs):
+        if self.hub(now_s):
             return self.peers.addresses()
+        hubs = arbiters.hubs(self.candidates(now_s))
         return tuple(hub.address for hub in hubs)
 
+    def hub(self, now_s: float) -> bool:
+        """Whether this instance takes itself for a hub."""
+        hubs = arbiters.hubs(self.candidates(now_s))
+        return any(hub.name == self.name for hub in hubs)
+
+    def store_by_peers(self, now_s: float) -> bool:
+        """Whether a peer that watches the store is heard."""
+        return any(p.message.store_reachable for p in self.peers.heard(now_s))
+
+    def watches(self, now_s: float) -> bool:
+        """Whether this instance watches the store itself.
+
+        Load pattern: reading the store is dear when dozens watch it. Hubs
+        watch, and others hear from them. When no hub is heard or none reaches
+        the store, the others do not try all at once.
+        """
+        # Who has just lost all hubs takes itself for one.
+        found = len(self.peers.heard(now_s)) >= arbiters.HUBS - 1
+        if not self.many(now_s) or (found and self.hub(now_s)):
+            self._alone_s = None
+            return True
+        if self.store_by_peers(now_s):
+            self._alone_s = None
+            return False
+        if self._alone_s is None:
+            self._alone_s = now_s + random.uniform(*ALONE_S)
+        return now_s >= self._alone_s
+
     def told_peers(self, now_s: float) -> tuple[str, ...]:
         """Return the addresses that peers are told of."""
         if self.many(now_s):
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
+import http
 import json
 import random
 import threading
@@ -13,6 +14,7 @@
 
 from . import catching_up
 from ..events import Event
+from . import internal
 from ..model.routing import CallerLimits
 from ..model.target import Target
 from . import path as path_module
@@ -37,6 +39,7 @@
 from .callers import Reply
 from .exchange import TargetConnections
 from .fleet import Fleet
+from .internal import Page
 from .moves import Moves
 from .observations import Observations
 from .outside import Outside
@@ -100,6 +103,8 @@
             peers=self._peers,
             view=self._view,
             connections=self._connections,
+            data_center=settings.instance.data_center,
+            watching=lambda: self._watches,
             record=record,
         )
         self._incarnation = random.getrandbits(53)
@@ -125,6 +130,8 @@
         self._heard: frozenset[str] = frozenset()
         self._sequence = 0
         self._leaving = False
+        self._watches = True
+        self._listed: tuple[Target, ...] = ()
         self._store_reachable = {kind: True for kind in kinds}
         self._path = path_module.Path(self._path_parts())
 
@@ -158,6 +165,7 @@
                     listed=later(self._view.take_listing),
                     changed=later(self._view.take_changes),
                     reachable=self._reachable_of(kind, later),
+                    wanted=lambda: self._watches,
                     record=self.record,
                     stopping=stopping,
                 )
@@ -189,9 +197,21 @@
             self.outside.targets_kind
         )
 
-    def snapshot(self) -> tuple[int, bytes]:
-        """Return what is known of the store, for peers."""
-        return 200, json.dumps(self._view.snapshot()).encode()
+    def snapshots(self) -> dict[bytes, Page]:
+        """Return pages of what is known of the store, for peers."""
+
+        def page(*kinds: str) -> Page:
+            return lambda: (
+                http.HTTPStatus.OK,
+                json.dumps(self._view.snapshot(kinds)).encode(),
+            )
+
+        pages = {
+            internal.snapshot_path(kind): page(kind)
+            for kind in self._view.revisions()
+        }
+        pages[internal.SNAPSHOT_PATH] = page()
+        return pages
 
     def set_settings(self, settings: ForwardingSettings) -> None:
         """Take changed settings."""
@@ -217,6 +237,7 @@
         """Drop what is old."""
         self._connections.close_idle(now_s)
         self._note_peers(now_s)
+        self._choose_watching(now_s)
         self._arbiter.sweep(now_s)
         self._peers.drop_old(now_s)
         self._quotas.forget(self._peers.known_names(now_s))
@@ -296,18 +317,22 @@
         """Take note that another target has the address of one."""
         self._rooms.broken(target.name, time.monotonic())
 
-    def _view_changed(self, kind: str) -> None:
+    def _view_changed(self, kind: str) -> bool:
+        """Take what changed; return whether it changes anything here."""
         outside = self.outside
         now_s = time.monotonic()
         if kind == outside.table_kind:
             self._take_table()
         elif kind == outside.targets_kind:
-            targets = self._decoded(kind, outside.decode_target)
-            self._targets.take(tuple(targets), now_s)
+            targets = tuple(self._decoded(kind, outside.decode_target))
+            self._targets.take(targets, now_s)
             self._refresh_targets()
+            before, self._listed = self._listed, targets
+            return frozenset(before) != frozenset(targets)
         else:
             orders = self._decoded(kind, outside.decode_order)
             self._moves.trials.set_orders(orders, now_s)
+        return True
 
     def _take_table(self) -> None:
         for item in self._view.objects(self.outside.table_kind):
@@ -400,12 +425,14 @@
             waiting=self._placing.waiting(),
             taken=self._quotas.taken(),
             used=self._quotas.used(now_s),
-            revisions=self._view.revisions(),
+            revisions=self._told_revisions(now_s),
             peers=self._fleet.told_peers(now_s),
             data_center=self._settings.instance.data_center,
             capacity=self._fleet.capacity,
             instances=self._peers.known(now_s),
             leaving=self._fleet.leaving,
+            store_reachable=self._watches
+            and all(self._store_reachable.values()),
             evidence=self._moves.trials.evidence.own(),
         )
 
@@ -424,6 +451,18 @@
             for name, load in self._rooms.load(now_s).items()
         }
 
+    def _told_revisions(self, now_s: float) -> dict[str, int]:
+        if self._fleet.many(now_s):
+            return self._view.noted()
+        return self._view.revisions()
+
+    def _choose_watching(self, now_s: float) -> None:
+        """Decide whether this instance or a peer watches the store."""
+        self._watches = self._fleet.watches(now_s)
+        if not self._watches:
+            reachable = self._fleet.store_by_peers(now_s)
+            self._targets.set_reachable(reachable, now_s)
+
     def _hear_of_requests(self, message: Asking | Answering) -> None:
         if isinstance(message, Answering):
             self._places.hear(message)
--- a/wigeonfall/forwarding/internal.py
+++ b/wigeonfall/forwarding/internal.py
@@ -35,20 +35,26 @@
     return handle
 
 
+def snapshot_path(kind: str) -> bytes:
+    """Return the path of the snapshot of one kind."""
+    return b'%s/%s' % (SNAPSHOT_PATH, kind.encode())
+
+
 async def fetch_snapshot(
-    connections: TargetConnections, address: str
+    connections: TargetConnections, address: str, path: bytes
 ) -> dict[str, Any]:
     """Return the snapshot of a peer.
 
     Args:
         connections: connections of this instance.
         address: "host:port" of the peer.
+        path: path of the snapshot.
 
     Raises:
         ExchangeError: the peer gave none.
     """
     host = address.encode()
-    request = b'GET %s HTTP/1.1\r\nHost: %s\r\n\r\n' % (SNAPSHOT_PATH, host)
+    request = b'GET %s HTTP/1.1\r\nHost: %s\r\n\r\n' % (path, host)
     try:
         async with asyncio.timeout(FETCH_TIMEOUT_S):
             exchange = await connections.send(
--- a/wigeonfall/forwarding/peers.py
+++ b/wigeonfall/forwarding/peers.py
@@ -49,6 +49,7 @@
         capacity: processors that it may use.
         instances: instances that it knows, itself included.
         leaving: whether it stops.
+        store_reachable: whether the store answers it.
         evidence: counts of answers by service, version and outcome.
     """
 
@@ -67,6 +68,7 @@
     capacity: float = 1.0
     instances: int = 1
     leaving: bool = False
+    store_reachable: bool = False
     evidence: dict[str, int] = attrs.field(factory=dict)
 
 
--- a/wigeonfall/forwarding/process.py
+++ b/wigeonfall/forwarding/process.py
@@ -132,7 +132,7 @@
                     200,
                     prometheus_client.generate_latest(self._registry),
                 ),
-                internal.SNAPSHOT_PATH: self._instance.snapshot,
+                **self._instance.snapshots(),
             }
         )
         served.append((listen.peers_address, pages))
--- a/wigeonfall/forwarding/store_view.py
+++ b/wigeonfall/forwarding/store_view.py
@@ -18,10 +18,12 @@
     Attributes:
         objects: the objects by name.
         revision: the newest change that is in them; 0 before the first.
+        noted: the newest change that others should hear of.
     """
 
     objects: dict[str, StoredObject] = attrs.field(factory=dict)
     revision: int = 0
+    noted: int = 0
 
 
 class StoreView:
@@ -29,15 +31,20 @@
 
     Args:
         kinds: names of the kinds.
-        changed: called with a kind after each change of it.
+        changed: called with a kind after each change of it; returns whether
+            others should hear of it.
     """
 
     def __init__(
-        self, kinds: Iterable[str], changed: Callable[[str], None]
+        self, kinds: Iterable[str], changed: Callable[[str], bool]
     ) -> None:
         self._kinds = {kind: KindView() for kind in kinds}
         self._changed = changed
 
+    def noted(self) -> dict[str, int]:
+        """Return the newest change of each kind that others should have."""
+        return {kind: view.noted for kind, view in self._kinds.items()}
+
     def revisions(self) -> dict[str, int]:
         """Return the revision of each kind."""
         return {kind: view.revision for kind, view in self._kinds.items()}
@@ -59,7 +66,7 @@
         same = objects == view.objects
         view.objects = objects
         if not same:
-            self._changed(kind)
+            self._change(kind)
 
     def take_changes(self, kind: str, changes: Changes) -> None:
         """Take changes of a kind in the order of the store."""
@@ -73,10 +80,16 @@
                 view.objects[item.name] = item
                 view.revision = max(view.revision, item.version)
         if changes.changes:
-            self._changed(kind)
+            self._change(kind)
+
+    def _change(self, kind: str) -> None:
+        if self._changed(kind):
+            view = self._kinds[kind]
+            view.noted = view.revision
 
-    def snapshot(self) -> dict[str, Any]:
-        """Return all that is known, as JSON values."""
+    def snapshot(self, kinds: Iterable[str] = ()) -> dict[str, Any]:
+        """Return what is known of some or all kinds, as JSON values."""
+        wanted = frozenset(kinds) or self._kinds.keys()
         return {
             kind: {
                 'revision': view.revision,
@@ -85,6 +98,7 @@
                 ],
             }
             for kind, view in self._kinds.items()
+            if kind in wanted
         }
 
     def take_snapshot(self, value: dict[str, Any]) -> list[str]:
@@ -110,5 +124,5 @@
             view.revision = item['revision']
             taken.append(kind)
         for kind in taken:
-            self._changed(kind)
+            self._change(kind)
         return taken
--- a/wigeonfall/forwarding/watching.py
+++ b/wigeonfall/forwarding/watching.py
@@ -16,6 +16,7 @@
 
 WATCH_S = 5.0  # a silent link is noticed after this time
 OUTAGE_FAILURES = 2  # one lost watch is no outage
+UNWANTED_S = 0.25  # heartbeat of peers, which decides anew
 RETRY_FIRST_S = 0.1
 RETRY_MOST_S = 0.8  # a change is in force two seconds after the store is back
 
@@ -30,6 +31,7 @@
         listed: takes all objects; called in the watch's thread.
         changed: takes changes; called in the watch's thread.
         reachable: takes whether the store answered.
+        wanted: whether this instance watches the store itself.
         record: records events.
         stopping: set when the process stops.
     """
@@ -39,6 +41,7 @@
     listed: Callable[[str, Listing], None]
     changed: Callable[[str, Changes], None]
     reachable: Callable[[bool], None]
+    wanted: Callable[[], bool]
     record: Record
     stopping: threading.Event
 
@@ -56,6 +59,11 @@
     revision: int | None = None
     failures = 0
     while not watcher.stopping.is_set():
+        if not watcher.wanted():
+            # What comes meanwhile is heard from peers; later all is read.
+            revision, failures = None, 0
+            watcher.stopping.wait(UNWANTED_S)
+            continue
         if revision is None:
             revision, error = _list(watcher)
         else:
