--- /dev/null
+++ b/wigeonfall/forwarding/in_force.py
@@ -0,0 +1,153 @@
+"""What of the store's objects is in force at one instance."""
+
+from collections.abc import Callable
+import time
+from typing import TypeVar
+
+from ..events import Event
+from ..model.target import Target
+from ..policy.room import Rooms
+from ..policy import routing
+from ..policy.target_view import TargetView
+from ..policy.version_trial import Trials
+from ..ports.platform import StoredObject
+from ..recorder import Record
+from .outside import Outside
+from .store_view import StoreView
+
+_Value = TypeVar('_Value')
+
+
+class InForce:
+    """The table, the targets and the orders that this instance goes by.
+
+    Args:
+        outside: kinds of objects and how they are read.
+        rooms: room at the targets, which is told of changes.
+        trials: moves to new versions, which are told of orders.
+        record: records events.
+
+    Attributes:
+        view: the objects as last heard.
+        index: the routing table in force, None before the first.
+        names: names of the usable targets by service.
+    """
+
+    def __init__(
+        self, outside: Outside, rooms: Rooms, trials: Trials, record: Record
+    ) -> None:
+        kinds = (
+            outside.table_kind,
+            outside.targets_kind,
+            outside.orders_kind,
+        )
+        self.view = StoreView(kinds, self._changed)
+        self.index: routing.RoutingIndex | None = None
+        self.names: dict[str, tuple[str, ...]] = {}
+        self._outside = outside
+        self._rooms = rooms
+        self._trials = trials
+        self._record = record
+        self._targets = TargetView()
+        self._listed: frozenset[Target] = frozenset()
+        self._reachable = {kind: True for kind in kinds}
+
+    @property
+    def store_reachable(self) -> bool:
+        """Whether the store answers for all kinds."""
+        return all(self._reachable.values())
+
+    def ready(self) -> bool:
+        """Whether enough is known to serve callers."""
+        return self.index is not None and self.view.known(
+            self._outside.targets_kind
+        )
+
+    def set_reachable(self, kind: str, reachable: bool) -> None:
+        """Note whether the store answers for a kind."""
+        self._reachable[kind] = reachable
+        if kind == self._outside.targets_kind:
+            self.set_targets_reachable(reachable)
+
+    def set_targets_reachable(self, reachable: bool) -> None:
+        """Note whether targets can renew their entries in the store."""
+        self._targets.set_reachable(reachable, time.monotonic())
+
+    def refresh_targets(self) -> None:
+        """Take the targets that are usable as of now."""
+        usable = self._targets.usable(time.monotonic())
+        names: dict[str, tuple[str, ...]] = {}
+        for target in usable:
+            names[target.service] = (
+                *names.get(target.service, ()),
+                target.name,
+            )
+        before = {name for group in self.names.values() for name in group}
+        present = {target.name for target in usable}
+        if present != before:
+            self._record(
+                Event.TARGETS_CHANGED,
+                added=sorted(present - before),
+                removed=sorted(before - present),
+                targets=len(present),
+                revision=self.view.revisions()[self._outside.targets_kind],
+            )
+        self.names = names
+        self._rooms.set_targets(usable)
+
+    def _changed(self, kind: str) -> bool:
+        """Take what changed; return whether it changes anything here."""
+        outside = self._outside
+        now_s = time.monotonic()
+        if kind == outside.table_kind:
+            self._take_table()
+        elif kind == outside.targets_kind:
+            targets = tuple(self._decoded(kind, outside.decode_target))
+            self._targets.take(targets, now_s)
+            self.refresh_targets()
+            before, self._listed = self._listed, frozenset(targets)
+            return before != self._listed
+        else:
+            orders = self._decoded(kind, outside.decode_order)
+            self._trials.set_orders(orders, now_s)
+        return True
+
+    def _take_table(self) -> None:
+        for item in self.view.objects(self._outside.table_kind):
+            if item.name != self._outside.table_name:
+                continue
+            try:
+                table = self._outside.decode_table(item.value)
+            except ValueError as error:
+                self._unreadable(item, error)
+                continue
+            present = self.index.table.version if self.index else -1
+            if table.version > present:
+                self.index = routing.make_index(table)
+                self._record(
+                    Event.TABLE_IN_FORCE,
+                    version=table.version,
+                    routes=len(table.routes),
+                    customers=len(table.customers),
+                )
+
+    def _decoded(
+        self, kind: str, decode: Callable[[StoredObject], _Value]
+    ) -> list[_Value]:
+        """Return the readable objects of a kind; others break no reader."""
+        values = []
+        for item in self.view.objects(kind):
+            try:
+                values.append(decode(item))
+            except ValueError as error:
+                self._unreadable(item, error)
+        return values
+
+    def _unreadable(self, item: StoredObject, error: ValueError) -> None:
+        self._record(
+            Event.OBJECT_UNREADABLE,
+            kind=item.kind,
+            object=item.name,
+            version=item.version,
+            detail=str(error),
+        )
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -3,12 +3,13 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
+import functools
 import http
 import json
 import random
 import threading
 import time
-from typing import Any, TypeVar
+from typing import Any
 
 import attrs
 
@@ -23,11 +24,8 @@
 from ..policy import resend_budget
 from ..policy.room import Rooms
 from ..policy.room import TargetLoad
-from ..policy import routing
-from ..policy.target_view import TargetView
 from ..policy import token_quota
 from ..policy.version_trial import Trials
-from ..ports.platform import StoredObject
 from ..recorder import Record
 from . import registration
 from . import watching
@@ -39,16 +37,13 @@
 from .callers import Reply
 from .exchange import TargetConnections
 from .fleet import Fleet
+from .in_force import InForce
 from .internal import Page
 from .moves import Moves
 from .observations import Observations
 from .outside import Outside
 from .placing import Placing
 from .settings import ForwardingSettings
-from .store_view import StoreView
-
-
-_Value = TypeVar('_Value')
 
 
 class Instance:
@@ -67,10 +62,9 @@
         self.record = record
         self._settings = settings
         self._store = outside.make_store(settings.platform.address)
-        self._index: routing.RoutingIndex | None = None
-        self._targets = TargetView()
-        self._names: dict[str, tuple[str, ...]] = {}
         self._rooms = Rooms(settings.instance.data_center)
+        trials = Trials()
+        self._in_force = InForce(outside, self._rooms, trials, record)
         self._started_s = time.monotonic()
         self._quotas = token_quota.TokenQuotas(self._started_s)
         self._peers = peers_module.Peers(settings.listen.peers_address)
@@ -81,27 +75,21 @@
         self._connections = TargetConnections(outside.names.request_id.lower())
         self._placing = Placing(
             self._rooms,
-            lambda service: self._names.get(service, ()),
+            lambda service: self._in_force.names.get(service, ()),
             lambda: self._peers.loads(time.monotonic()),
             self._load_changed,
         )
-        kinds = (
-            outside.table_kind,
-            outside.targets_kind,
-            outside.orders_kind,
-        )
-        self._view = StoreView(kinds, self._view_changed)
         self._moves = Moves(
-            trials=Trials(),
+            trials=trials,
             rooms=self._rooms,
             store=lambda: self._store,
-            entries=lambda: self._view.objects(outside.orders_kind),
+            entries=lambda: self._in_force.view.objects(outside.orders_kind),
             encode=outside.encode_order,
             record=record,
         )
         self._catching_up = catching_up.CatchingUp(
             peers=self._peers,
-            view=self._view,
+            view=self._in_force.view,
             connections=self._connections,
             data_center=settings.instance.data_center,
             watching=lambda: self._watches,
@@ -131,8 +119,6 @@
         self._sequence = 0
         self._leaving = False
         self._watches = True
-        self._listed: tuple[Target, ...] = ()
-        self._store_reachable = {kind: True for kind in kinds}
         self._path = path_module.Path(self._path_parts())
 
     def loops(self) -> tuple[Coroutine[Any, Any, None], ...]:
@@ -157,13 +143,13 @@
 
             return call
 
-        for kind in self._view.revisions():
+        for kind in self._in_force.view.revisions():
             watching.start(
                 watching.Watcher(
                     kind=kind,
                     store=lambda: self._store,
-                    listed=later(self._view.take_listing),
-                    changed=later(self._view.take_changes),
+                    listed=later(self._in_force.view.take_listing),
+                    changed=later(self._in_force.view.take_changes),
                     reachable=self._reachable_of(kind, later),
                     wanted=lambda: self._watches,
                     record=self.record,
@@ -189,13 +175,12 @@
 
     def limits(self) -> CallerLimits:
         """Return what callers may send at present."""
-        return self._index.table.limits if self._index else CallerLimits()
+        index = self._in_force.index
+        return index.table.limits if index else CallerLimits()
 
     def ready(self) -> bool:
         """Whether the instance can serve callers."""
-        return self._index is not None and self._view.known(
-            self.outside.targets_kind
-        )
+        return self._in_force.ready()
 
     def snapshots(self) -> dict[bytes, Page]:
         """Return pages of what is known of the store, for peers."""
@@ -203,12 +188,12 @@
         def page(*kinds: str) -> Page:
             return lambda: (
                 http.HTTPStatus.OK,
-                json.dumps(self._view.snapshot(kinds)).encode(),
+                json.dumps(self._in_force.view.snapshot(kinds)).encode(),
             )
 
         pages = {
             internal.snapshot_path(kind): page(kind)
-            for kind in self._view.revisions()
+            for kind in self._in_force.view.revisions()
         }
         pages[internal.SNAPSHOT_PATH] = page()
         return pages
@@ -241,7 +226,8 @@
         self._arbiter.sweep(now_s)
         self._peers.drop_old(now_s)
         self._quotas.forget(self._peers.known_names(now_s))
-        self._refresh_targets()
+        self._in_force.refresh_targets()
+        self._rooms.set_peers(self._peers.loads(now_s))
 
     def _note_peers(self, now_s: float) -> None:
         heard = self._peers.heard_names(now_s)
@@ -260,7 +246,7 @@
             lambda: self._peers.instances(time.monotonic()),
         )
         return path_module.PathParts(
-            index=lambda: self._index,
+            index=lambda: self._in_force.index,
             leaving=lambda: self._leaving,
             names=self.outside.names,
             pressure=self._placing.pressure,
@@ -289,7 +275,7 @@
             observations=self._observations,
             unsuited=lambda service, wish: {
                 name
-                for name in self._names.get(service, ())
+                for name in self._in_force.names.get(service, ())
                 if not wish.suits(name)
             },
             candidates=self._fleet.candidates,
@@ -303,7 +289,8 @@
     def _take_tokens(
         self, customer: str, tokens: float, returned: bool, now_s: float
     ) -> token_quota.OverLimit | None:
-        holder = self._index.by_name.get(customer) if self._index else None
+        index = self._in_force.index
+        holder = index.by_name.get(customer) if index else None
         if holder is None:
             return None
         return self._quotas.take(
@@ -317,95 +304,10 @@
         """Take note that another target has the address of one."""
         self._rooms.broken(target.name, time.monotonic())
 
-    def _view_changed(self, kind: str) -> bool:
-        """Take what changed; return whether it changes anything here."""
-        outside = self.outside
-        now_s = time.monotonic()
-        if kind == outside.table_kind:
-            self._take_table()
-        elif kind == outside.targets_kind:
-            targets = tuple(self._decoded(kind, outside.decode_target))
-            self._targets.take(targets, now_s)
-            self._refresh_targets()
-            before, self._listed = self._listed, targets
-            return frozenset(before) != frozenset(targets)
-        else:
-            orders = self._decoded(kind, outside.decode_order)
-            self._moves.trials.set_orders(orders, now_s)
-        return True
-
-    def _take_table(self) -> None:
-        for item in self._view.objects(self.outside.table_kind):
-            if item.name != self.outside.table_name:
-                continue
-            try:
-                table = self.outside.decode_table(item.value)
-            except ValueError as error:
-                self._unreadable(item, error)
-                continue
-            present = self._index.table.version if self._index else -1
-            if table.version > present:
-                self._index = routing.make_index(table)
-                self.record(
-                    Event.TABLE_IN_FORCE,
-                    version=table.version,
-                    routes=len(table.routes),
-                    customers=len(table.customers),
-                )
-
-    def _decoded(
-        self, kind: str, decode: Callable[[StoredObject], _Value]
-    ) -> list[_Value]:
-        """Return the readable objects of a kind; others break no reader."""
-        values = []
-        for item in self._view.objects(kind):
-            try:
-                values.append(decode(item))
-            except ValueError as error:
-                self._unreadable(item, error)
-        return values
-
-    def _unreadable(self, item: StoredObject, error: ValueError) -> None:
-        self.record(
-            Event.OBJECT_UNREADABLE,
-            kind=item.kind,
-            object=item.name,
-            version=item.version,
-            detail=str(error),
-        )
-
-    def _refresh_targets(self) -> None:
-        usable = self._targets.usable(time.monotonic())
-        names: dict[str, tuple[str, ...]] = {}
-        for target in usable:
-            names[target.service] = (
-                *names.get(target.service, ()),
-                target.name,
-            )
-        before = {name for group in self._names.values() for name in group}
-        present = {target.name for target in usable}
-        if present != before:
-            self.record(
-                Event.TARGETS_CHANGED,
-                added=sorted(present - before),
-                removed=sorted(before - present),
-                targets=len(present),
-                revision=self._view.revisions()[self.outside.targets_kind],
-            )
-        self._names = names
-        self._rooms.set_targets(usable)
-        self._rooms.set_peers(self._peers.loads(time.monotonic()))
-
     def _reachable_of(
         self, kind: str, later: Callable[..., Callable[..., None]]
     ) -> Callable[[bool], None]:
-        def note(reachable: bool) -> None:
-            self._store_reachable[kind] = reachable
-            self._targets.set_reachable(
-                self._store_reachable[self.outside.targets_kind],
-                time.monotonic(),
-            )
-
+        note = functools.partial(self._in_force.set_reachable, kind)
         result: Callable[[bool], None] = later(note)
         return result
 
@@ -431,8 +333,7 @@
             capacity=self._fleet.capacity,
             instances=self._peers.known(now_s),
             leaving=self._fleet.leaving,
-            store_reachable=self._watches
-            and all(self._store_reachable.values()),
+            store_reachable=self._watches and self._in_force.store_reachable,
             evidence=self._moves.trials.evidence.own(),
         )
 
@@ -453,15 +354,15 @@
 
     def _told_revisions(self, now_s: float) -> dict[str, int]:
         if self._fleet.many(now_s):
-            return self._view.noted()
-        return self._view.revisions()
+            return self._in_force.view.noted()
+        return self._in_force.view.revisions()
 
     def _choose_watching(self, now_s: float) -> None:
         """Decide whether this instance or a peer watches the store."""
         self._watches = self._fleet.watches(now_s)
         if not self._watches:
             reachable = self._fleet.store_by_peers(now_s)
-            self._targets.set_reachable(reachable, now_s)
+            self._in_force.set_targets_reachable(reachable)
 
     def _hear_of_requests(self, message: Asking | Answering) -> None:
         if isinstance(message, Answering):
