Add a fault soak with real processes

Cause: no test plays faults on real processes of the users' platform at random. Change: tests/soak runs processes, stand-in targets behind forwarders and a stand-in store; kills, stops, pauses, reloads, cuts, silences in both or one direction, delays, failing targets, a store that is away, forgets or is spoilt; promises are held to what callers and targets see. python -m tests.soak 1 50.

--- a/tests/fakes/forwarder.py
+++ b/tests/fakes/forwarder.py
@@ -1,9 +1,10 @@
-"""A TCP forwarder that can cut or silence what passes through it."""
+"""A TCP forwarder that can cut, silence or delay what passes through it."""
 
 import contextlib
 import enum
 import socket
 import threading
+import time
 
 READ_BYTES = 65536
 
@@ -12,6 +13,7 @@
     OPEN = 'open'
     CUT = 'cut'
     SILENT = 'silent'
+    DEAF = 'deaf'
 
 
 class Forwarder:
@@ -25,6 +27,7 @@
         host, _, port = to_address.rpartition(':')
         self._to = (host, int(port))
         self._state = _State.OPEN
+        self._delay_s = 0.0
         self._changed = threading.Condition()
         self._sockets: set[socket.socket] = set()
         self._dead: set[socket.socket] = set()
@@ -41,6 +44,14 @@
         """Pass nothing on, old connections and new ones, until healed."""
         self._set(_State.SILENT)
 
+    def silence_answers(self) -> None:
+        """Pass nothing back, but pass on what comes, until healed."""
+        self._set(_State.DEAF)
+
+    def delay(self, delay_s: float) -> None:
+        """Pass everything on later, until healed."""
+        self._delay_s = delay_s
+
     def lose_connections(self) -> None:
         """Pass nothing more on present connections, ever; new ones work."""
         with self._changed:
@@ -48,6 +59,7 @@
 
     def heal(self) -> None:
         """Pass everything on again, also what waited in silence."""
+        self._delay_s = 0.0
         self._set(_State.OPEN)
 
     def close(self) -> None:
@@ -92,21 +104,24 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         with self._changed:
             self._sockets |= {caller, callee}
-        back = threading.Thread(target=self._pump, args=(callee, caller))
+        back = threading.Thread(target=self._pump, args=(callee, caller, True))
         back.daemon = True
         back.start()
-        self._pump(caller, callee)
+        self._pump(caller, callee, False)
 
-    def _pump(self, source: socket.socket, sink: socket.socket) -> None:
+    def _pump(
+        self, source: socket.socket, sink: socket.socket, back: bool
+    ) -> None:
         with contextlib.suppress(OSError):
             while data := source.recv(READ_BYTES):
-                self._wait_while_silent()
+                time.sleep(self._delay_s)
+                self._wait_while_silent(back)
                 if source in self._dead:
                     continue
                 sink.sendall(data)
         if source in self._dead and self._state is not _State.CUT:
             return
-        self._wait_while_silent()
+        self._wait_while_silent(back)
         with contextlib.suppress(OSError):
             sink.shutdown(socket.SHUT_WR)
         with self._changed:
@@ -116,6 +131,7 @@
             source.close()
             sink.close()
 
-    def _wait_while_silent(self) -> None:
+    def _wait_while_silent(self, back: bool = False) -> None:
+        silent = {_State.SILENT, _State.DEAF} if back else {_State.SILENT}
         with self._changed:
-            self._changed.wait_for(lambda: self._state is not _State.SILENT)
+            self._changed.wait_for(lambda: self._state not in silent)
--- /dev/null
+++ b/tests/fakes/users_platform.py
@@ -0,0 +1,117 @@
+"""Processes of the adapter, as the users' platform starts them."""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import socket
+import sys
+
+from tests.fakes.forwarding import read_answer
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+START_S = 30
+TEMPLATE = """[instance]
+name = {name}
+data_center = z
+[listen]
+callers_address = 127.0.0.1:{callers}
+ready_address = 127.0.0.1:{ready}
+peers_address = {peers_host}:{peers}
+metrics_address = 127.0.0.1:{metrics}
+[platform]
+address = {store}
+[stop]
+grace_s = 8
+settle_s = 1
+[retry]
+ratio = {ratio}
+slack_requests = 50
+[peers]
+seeds = {seeds}
+"""
+REQUEST = (
+    b'GET /r/x HTTP/1.1\r\nHost: meat.example\r\n'
+    b'X-Wigeonfall-Request-Id: %s\r\n\r\n'
+)
+
+
+def free_ports(count):
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in sockets:
+            sock.bind(('127.0.0.1', 0))
+        return [sock.getsockname()[1] for sock in sockets]
+
+
+class Instance:
+    """One process of the adapter."""
+
+    def __init__(self, directory, store, name='i1', seeds='127.0.0.1:1'):
+        names = ('callers', 'ready', 'peers', 'metrics')
+        self.name = name
+        self.peers_host = '127.0.0.1'
+        self.ports = dict(zip(names, free_ports(4), strict=True))
+        self.store = store
+        self.seeds = seeds
+        self.path = directory / f'{name}.ini'
+        self.log = directory / f'{name}.log'
+        self.write_settings()
+
+    def write_settings(self, ratio=0.2):
+        text = TEMPLATE.format(
+            name=self.name,
+            peers_host=self.peers_host,
+            store=self.store.address,
+            seeds=self.seeds,
+            ratio=ratio,
+            **self.ports,
+        )
+        self.path.write_text(text, 'utf-8')
+
+    async def __aenter__(self):
+        with self.log.open('ab') as output:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                'platform/run.py',
+                cwd=ROOT,
+                env=os.environ | {'WIGEONFALL_CONFIG': str(self.path)},
+                stdout=output,
+                stderr=output,
+            )
+        async with asyncio.timeout(START_S):
+            while await self.page('ready', '/api/ready') != 200:
+                await asyncio.sleep(0.05)
+        return self
+
+    async def __aexit__(self, *_exc):
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+
+    async def page(self, port, path):
+        try:
+            reader, writer = await self.connect(port)
+        except OSError:
+            return 0
+        writer.write(f'GET {path} HTTP/1.1\r\nHost: x\r\n\r\n'.encode())
+        try:
+            return (await read_answer(reader))[0]
+        finally:
+            writer.close()
+
+    async def connect(self, port='callers'):
+        return await asyncio.open_connection('127.0.0.1', self.ports[port])
+
+    async def ask(self, number):
+        reader, writer = await self.connect()
+        writer.write(REQUEST % str(number).encode())
+        try:
+            return await read_answer(reader)
+        finally:
+            writer.close()
+
+    def events(self):
+        lines = self.log.read_text('utf-8').splitlines()
+        return [json.loads(line) for line in lines if line.startswith('{')]
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,305 @@
+"""One run of the soak: real processes, faults from outside, promises held."""
+
+import asyncio
+from collections.abc import Callable
+import pathlib
+import random
+import signal
+import time
+
+import attrs
+
+from tests.fakes.forwarder import Forwarder
+from tests.fakes.metadata_store import MetadataStore
+from tests.fakes.users_platform import Instance
+from tests.soak.callers import Caller
+from tests.soak.callers import HOST
+from tests.soak.callers import Target
+from tests.soak.promises import Promises
+
+MODES = ('errors', 'resets', 'hangs', 'refuses', 'cuts')
+FAULT_S = (0.2, 2.0)
+GAP_S = (0.2, 1.5)
+HEALED_S = 20.0  # in which all serve again; processes share a busy machine
+SETTLE_S = 3.0  # after a restart, peers know the new start
+ROUTES = (
+    ('once', 'non_idempotent', 1, False),
+    ('safe', 'idempotent', 2, False),
+    ('resumed', 'streaming', 3, True),
+    ('stream', 'streaming', 1, False),
+)
+
+Undo = Callable[[], object]
+
+
+@attrs.frozen
+class Plan:
+    """The size of a run.
+
+    Attributes:
+        seed: what chance depends on.
+        duration_s: time with faults.
+        instances: number of processes.
+        targets: number of stand-in targets.
+        callers: number of callers.
+    """
+
+    seed: int
+    duration_s: float = 10.0
+    instances: int = 3
+    targets: int = 4
+    callers: int = 12
+
+
+class _Link:
+    """The store as one instance reaches it."""
+
+    def __init__(self, address: str) -> None:
+        self.forwarder = Forwarder(address)
+        self.address = self.forwarder.address
+
+
+class Soak:
+    """The processes of one run and the faults that they get."""
+
+    def __init__(self, plan: Plan, directory: pathlib.Path) -> None:
+        self.plan = plan
+        self.seen = Promises()
+        self.caused: list[str] = []
+        self._directory = directory
+        self._store = MetadataStore()
+        self._targets = [Target(self.seen) for _ in range(plan.targets)]
+        self._target_links: list[Forwarder] = []
+        self._instances: list[Instance] = []
+        self._version = 1
+
+    async def run(self) -> None:
+        """Serve with faults, heal, and see that all serve again."""
+        with self._store:
+            try:
+                await self._start()
+                await self._serve_with_faults()
+                await self._serve_healed()
+            finally:
+                for instance in self._instances:
+                    await instance.__aexit__()
+                for link in self._target_links:
+                    link.close()
+                for instance in self._instances:
+                    instance.store.forwarder.close()
+
+    async def _start(self) -> None:
+        for target in self._targets:
+            await target.start()
+            self._target_links.append(Forwarder(target.address))
+        self._store.objects.put('config', 'main', self._manifest())
+        for number in range(self.plan.targets):
+            self._list_target(number)
+        for number in range(self.plan.instances):
+            instance = Instance(
+                self._directory,
+                _Link(self._store.address),
+                f'i{number}',
+                self._seeds(),
+            )
+            self._instances.append(instance)
+        await asyncio.gather(*(i.__aenter__() for i in self._instances))
+
+    def _seeds(self) -> str:
+        # Only hosts count, and here all share one: entries in the store tell.
+        return '127.0.0.1:1'
+
+    def _manifest(self) -> dict:
+        return {
+            'Version': self._version,
+            'Routes': [
+                {
+                    'Name': name,
+                    'Host': HOST.decode(),
+                    'PathPrefix': f'/{name}/',
+                    'Kind': kind,
+                    'TimeoutMs': 4000,
+                    'TargetLatencyMs': 400,
+                    'GapAimMs': 200,
+                    'MaxAttempts': attempts,
+                    'ResumeStreams': resumed,
+                    'Service': 's',
+                    'AllowAnonymous': True,
+                }
+                for name, kind, attempts, resumed in ROUTES
+            ],
+            'Services': [{'Name': 's'}],
+            'Limits': {},
+            'Tenants': [],
+        }
+
+    def _list_target(self, number: int) -> None:
+        value = {
+            'Service': 's',
+            'Address': self._target_links[number].address,
+            'Zone': 'z',
+            'Version': 'v1',
+            'Slots': 8,
+            'State': 'ready',
+        }
+        self._store.objects.put('servers', f'e{number}', value)
+
+    async def _serve_with_faults(self) -> None:
+        stopping = asyncio.Event()
+        choices = random.Random(f'{self.plan.seed}-callers')
+        callers = [
+            Caller(
+                f'{self.plan.seed}-{n}',
+                self._instances,
+                self.seen,
+                random.Random(choices.random()),
+            )
+            for n in range(self.plan.callers)
+        ]
+        lanes = [
+            *(self._instance_lane(i) for i in self._instances),
+            *(self._target_lane(n) for n in range(self.plan.targets)),
+            self._store_lane(),
+        ]
+        until_s = time.monotonic() + self.plan.duration_s
+        tasks = [asyncio.create_task(c.run(stopping)) for c in callers]
+        await asyncio.gather(
+            *(self._run_lane(*lane, until_s) for lane in lanes)
+        )
+        stopping.set()
+        await asyncio.gather(*tasks)
+
+    async def _run_lane(self, name: str, kinds: tuple, until_s: float) -> None:
+        choices = random.Random(f'{self.plan.seed}-{name}')
+        while time.monotonic() < until_s:
+            await asyncio.sleep(choices.uniform(*GAP_S))
+            kind, cause = choices.choice(kinds)
+            span = self.seen.fault_began(name, time.monotonic())
+            undo = cause()
+            self.caused.append(f'{kind} {name}')
+            await asyncio.sleep(choices.uniform(*FAULT_S))
+            result = undo()
+            if asyncio.iscoroutine(result):
+                await result
+            span[1] = time.monotonic() + SETTLE_S
+
+    def _instance_lane(self, instance: Instance) -> tuple[str, tuple]:
+        link = instance.store.forwarder
+
+        def kill() -> Undo:
+            instance.process.kill()
+            return lambda: self._restart(instance)
+
+        def stop() -> Undo:
+            instance.process.send_signal(signal.SIGTERM)
+            return lambda: self._restart(instance)
+
+        def pause() -> Undo:
+            instance.process.send_signal(signal.SIGSTOP)
+            return lambda: instance.process.send_signal(signal.SIGCONT)
+
+        def reload() -> Undo:
+            instance.write_settings(ratio=0.3)
+            instance.process.send_signal(signal.SIGHUP)
+            return lambda: instance.process.send_signal(signal.SIGHUP)
+
+        return instance.name, (
+            ('kill', kill),
+            ('stop', stop),
+            ('pause', pause),
+            ('reload', reload),
+            *_link_faults(link),
+        )
+
+    def _target_lane(self, number: int) -> tuple[str, tuple]:
+        target = self._targets[number]
+
+        def set_mode(mode: str) -> Callable[[], Undo]:
+            def cause() -> Undo:
+                target.mode = mode
+                return lambda: setattr(target, 'mode', 'fine')
+
+            return cause
+
+        def lapse() -> Undo:
+            self._store.objects.remove('servers', f'e{number}')
+            return lambda: self._list_target(number)
+
+        return f'e{number}', (
+            *((mode, set_mode(mode)) for mode in MODES),
+            ('lapse', lapse),
+            *_link_faults(self._target_links[number]),
+        )
+
+    def _store_lane(self) -> tuple[str, tuple]:
+        objects = self._store.objects
+
+        def away() -> Undo:
+            objects.away = True
+            return lambda: setattr(objects, 'away', False)
+
+        def forget() -> Undo:
+            objects.forget_history()
+            return lambda: None
+
+        def change() -> Undo:
+            self._version += 1
+            objects.put('config', 'main', self._manifest())
+            return lambda: None
+
+        def spoil() -> Undo:
+            objects.put('servers', 'odd', {'Address': 7})
+            return lambda: objects.remove('servers', 'odd')
+
+        return 'store', (
+            ('away', away),
+            ('forget', forget),
+            ('change', change),
+            ('spoil', spoil),
+        )
+
+    async def _restart(self, instance: Instance) -> None:
+        try:
+            async with asyncio.timeout(10):
+                await instance.process.wait()
+        except TimeoutError:
+            self.seen.broken.append(f'{instance.name} did not stop in 10 s')
+        await instance.__aexit__()
+        await instance.__aenter__()
+
+    async def _serve_healed(self) -> None:
+        """See that each instance serves each route again."""
+        until_s = time.monotonic() + HEALED_S
+        for instance in self._instances:
+            for kind, *_ in ROUTES:
+                number = 0
+                status = 0
+                while status != 200 and time.monotonic() < until_s:
+                    number += 1
+                    name = f'{self.plan.seed}-healed-{instance.name}-{number}'
+                    caller = Caller(
+                        name, [instance], self.seen, random.Random(0)
+                    )
+                    status = await caller.call(
+                        f'{name}-{kind}', kind, instance
+                    )
+                if status != 200:
+                    self.seen.broken.append(
+                        f'{instance.name} serves no {kind} after the faults'
+                    )
+
+
+def _link_faults(link: Forwarder) -> tuple:
+    def fault(cause: Callable[[], None]) -> Callable[[], Undo]:
+        def run() -> Undo:
+            cause()
+            return link.heal
+
+        return run
+
+    return (
+        ('cut', fault(link.cut)),
+        ('silence', fault(link.silence)),
+        ('silence answers', fault(link.silence_answers)),
+        ('delay', fault(lambda: link.delay(0.1))),
+    )
