Record refused resends, held back targets, lowered limits and faults

Cause: explain could not tell why a request was not sent to a second target, or why a target got less; a fault in a call was only on standard error.

--- a/tests/forwarding/test_arbiter.py
+++ b/tests/forwarding/test_arbiter.py
@@ -74,7 +74,7 @@
         )
         self.tokens = 0.0
         self.events = []
-        self.observations = Observations(self.rooms)
+        self.observations = Observations(self.rooms, self.note)
         self.places = Places(
             Parts(
                 name=self.name,
--- a/tests/forwarding/test_path.py
+++ b/tests/forwarding/test_path.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 
+import attrs
 import pytest
 
 from tests.fakes.forwarding import fine
@@ -526,3 +527,39 @@
                 assert (status, headers['request-id']) == (200, name)
 
     run(scenario)
+
+
+def test_a_fault_while_handling_is_recorded_and_breaks_off():
+    async def scenario():
+        async with Site(fine) as site:
+
+            async def handle(_call, _reply):
+                raise KeyError('odd')
+
+            site.instance._path.handle = handle
+            with pytest.raises(asyncio.IncompleteReadError):
+                await site.ask('/safe/x')
+            (fields,) = [
+                fields
+                for name, fields in site.events
+                if name == 'HANDLING_FAILED'
+            ]
+            assert fields['detail'] == "KeyError('odd')"
+            assert fields['request_id']
+
+    run(scenario)
+
+
+def test_a_resend_without_budget_is_recorded():
+    async def scenario():
+        async with Site(reset, reset) as site:
+            site.instance._path._parts = attrs.evolve(
+                site.instance._path._parts, resend=lambda _service, _s: False
+            )
+            status, _, _ = await site.ask('/safe/x')
+            assert status == 502
+            names = [name for name, _ in site.events]
+            assert 'RESEND_REFUSED' in names
+            assert 'TARGET_HELD_BACK' in names
+
+    run(scenario)
--- a/wigeonfall/events.py
+++ b/wigeonfall/events.py
@@ -34,6 +34,7 @@
     CALL_REJECTED = (209, logging.INFO, 'call rejected')
     CALLER_LEFT = (210, logging.INFO, 'caller left')
     REQUEST_PLACED = (211, logging.INFO, 'request placed')
+    RESEND_REFUSED = (212, logging.INFO, 'no budget for another target')
 
     ORDER_CLAIMED = (301, logging.INFO, 'order claimed')
     ORDER_DONE = (302, logging.INFO, 'order done')
@@ -64,6 +65,7 @@
     TARGETS_CHANGED = (514, logging.INFO, 'targets changed')
     TARGET_LEAVING = (520, logging.INFO, 'target leaves')
     TARGET_HELD_BACK = (521, logging.WARNING, 'target held back')
+    TARGET_LIMIT_LOWERED = (522, logging.INFO, 'limit of a target lowered')
 
     ROLLOUT_MOVED = (601, logging.INFO, 'rollout moved')
     VERSION_BAD = (602, logging.WARNING, 'version found bad here')
--- a/wigeonfall/explain.py
+++ b/wigeonfall/explain.py
@@ -35,6 +35,8 @@
         Event.VERSION_JUDGED,
         Event.PEER_UNREACHABLE,
         Event.PEER_REACHABLE,
+        Event.ARBITER_CHOSEN,
+        Event.TARGET_HELD_BACK,
     )
 )
 
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -4,8 +4,6 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 import functools
-import http
-import json
 import random
 import threading
 import time
@@ -104,7 +102,7 @@
             at_once=lambda: not self._fleet.many(time.monotonic()),
             record=record,
         )
-        self._observations = Observations(self._rooms)
+        self._observations = Observations(self._rooms, record)
         self._places = places_module.Places(self._places_parts())
         self._arbiter = Arbiter(
             name=settings.instance.name,
@@ -170,8 +168,16 @@
         )
 
     async def handle(self, call: Call, reply: Reply) -> None:
-        """Answer a call."""
-        await self._path.handle(call, reply)
+        """Answer a call; one that fails for a fault here breaks off."""
+        try:
+            await self._path.handle(call, reply)
+        except Exception as error:
+            name = self.outside.names.request_id.lower()
+            self.record(
+                Event.HANDLING_FAILED,
+                request_id=call.header(name).decode('latin-1'),
+                detail=repr(error),
+            )
 
     def limits(self) -> CallerLimits:
         """Return what callers may send at present."""
@@ -184,19 +190,7 @@
 
     def snapshots(self) -> dict[bytes, Page]:
         """Return pages of what is known of the store, for peers."""
-
-        def page(*kinds: str) -> Page:
-            return lambda: (
-                http.HTTPStatus.OK,
-                json.dumps(self._in_force.view.snapshot(kinds)).encode(),
-            )
-
-        pages = {
-            internal.snapshot_path(kind): page(kind)
-            for kind in self._in_force.view.revisions()
-        }
-        pages[internal.SNAPSHOT_PATH] = page()
-        return pages
+        return internal.snapshot_pages(self._in_force.view)
 
     def set_settings(self, settings: ForwardingSettings) -> None:
         """Take changed settings."""
--- a/wigeonfall/forwarding/internal.py
+++ b/wigeonfall/forwarding/internal.py
@@ -13,6 +13,7 @@
 from .callers import Reply
 from .exchange import ExchangeError
 from .exchange import TargetConnections
+from .store_view import StoreView
 
 SNAPSHOT_PATH = b'/snapshot'
 FETCH_TIMEOUT_S = 1.0  # a peer answers from memory
@@ -40,6 +41,20 @@
     return b'%s/%s' % (SNAPSHOT_PATH, kind.encode())
 
 
+def snapshot_pages(view: StoreView) -> dict[bytes, Page]:
+    """Return pages with what is known of the store, whole and by kind."""
+
+    def page(*kinds: str) -> Page:
+        return lambda: (
+            http.HTTPStatus.OK,
+            json.dumps(view.snapshot(kinds)).encode(),
+        )
+
+    pages = {snapshot_path(kind): page(kind) for kind in view.revisions()}
+    pages[SNAPSHOT_PATH] = page()
+    return pages
+
+
 async def fetch_snapshot(
     connections: TargetConnections, address: str, path: bytes
 ) -> dict[str, Any]:
--- a/wigeonfall/forwarding/observations.py
+++ b/wigeonfall/forwarding/observations.py
@@ -2,8 +2,10 @@
 
 from collections.abc import Callable
 
+from ..events import Event
 from ..policy.room import Rooms
 from ..policy.room import Size
+from ..recorder import Record
 from .asks import Report
 
 GIVE_BACK = 'give_back'
@@ -14,10 +16,12 @@
 
     Args:
         rooms: what is learned here.
+        record: records events.
     """
 
-    def __init__(self, rooms: Rooms) -> None:
+    def __init__(self, rooms: Rooms, record: Record) -> None:
         self._rooms = rooms
+        self._record = record
         self._reports: list[Report] = []
         self._reporting = False
 
@@ -55,12 +59,21 @@
         self, name: str, pause_s: float, goal_s: float, now_s: float
     ) -> None:
         """Learn from the longest pause of a stream."""
-        self._rooms.paused(name, pause_s, goal_s, now_s)
+        lowered = self._rooms.paused(name, pause_s, goal_s, now_s)
+        if lowered is not None:
+            self._record(
+                Event.TARGET_LIMIT_LOWERED,
+                target=name,
+                limit=lowered,
+                pause_ms=round(pause_s * 1000),
+                goal_ms=round(goal_s * 1000),
+            )
         self._report('pause', name, round(pause_s, 4), goal_s)
 
     def broken(self, name: str, now_s: float) -> None:
         """Learn that a connection broke or was refused."""
-        self._rooms.broken(name, now_s)
+        pause_s = self._rooms.broken(name, now_s)
+        self._record(Event.TARGET_HELD_BACK, target=name, pause_s=pause_s)
         self._report('broken', name)
 
     def failed(self, name: str) -> None:
--- a/wigeonfall/forwarding/outcomes.py
+++ b/wigeonfall/forwarding/outcomes.py
@@ -111,6 +111,16 @@
             ran=progress.ran,
         )
 
+    def resend_refused(self, work: Work, progress: Progress) -> None:
+        """Record that a request is not sent elsewhere for lack of budget."""
+        self.record(
+            Event.RESEND_REFUSED,
+            request_id=work.id,
+            service=work.service,
+            target=progress.target,
+            attempts=progress.sent,
+        )
+
     def refuse_unread(
         self, call: Call, reply: Reply, reason: str, delay_s: float
     ) -> None:
--- a/wigeonfall/forwarding/path.py
+++ b/wigeonfall/forwarding/path.py
@@ -227,7 +227,10 @@
                 return False
         if result.outcome is Outcome.NOT_CONNECTED:
             return True
-        return self._parts.resend(work.service, now_s)
+        allowed = self._parts.resend(work.service, now_s)
+        if not allowed:
+            self._outcomes.resend_refused(work, progress)
+        return allowed
 
     def _over_limit(
         self, work: Work, reply: Reply, progress: Progress, over: OverLimit
--- a/wigeonfall/policy/room.py
+++ b/wigeonfall/policy/room.py
@@ -293,31 +293,42 @@
 
     def paused(
         self, name: str, pause_s: float, goal_s: float, now_s: float
-    ) -> None:
-        """Learn from the longest pause between two events of a stream."""
+    ) -> float | None:
+        """Learn from the longest pause between two events of a stream.
+
+        Returns:
+            The new limit of the target if this lowers it.
+        """
         room = self._rooms.get(name)
         if room is None or goal_s <= 0:
-            return
+            return None
         if now_s - room.limited_s < LIMIT_RISE_S:
-            return
+            return None
         top = _slots(room.target)
         if pause_s > PACE_HIGH * goal_s:
             taken = min(room.limit, room.outstanding)
             room.limit = max(LEAST_LIMIT, taken - LIMIT_STEP)
             room.limited_s = now_s
-        elif room.limit < top:
+            return room.limit
+        if room.limit < top:
             room.limit = min(top, room.limit + LIMIT_STEP)
             room.limited_s = now_s
+        return None
+
+    def broken(self, name: str, now_s: float) -> float:
+        """Hold a target back whose connections break or are refused.
 
-    def broken(self, name: str, now_s: float) -> None:
-        """Hold a target back whose connections break or are refused."""
+        Returns:
+            The time for which it gets nothing.
+        """
         room = self._rooms.get(name)
         if room is None:
-            return
+            return 0.0
         self.failed(name)
         pause_s = min(SUSPECT_MOST_S, SUSPECT_S * 2**room.suspicions)
         room.suspicions += 1
         room.suspect_until_s = now_s + pause_s
+        return pause_s
 
     def failed(self, name: str) -> None:
         """Count a failed request at a target that answers."""
