--- a/wigeonfall/forwarding/outcomes.py
+++ b/wigeonfall/forwarding/outcomes.py
@@ -68,6 +68,7 @@
             outstanding=place.outstanding,
             reading_tokens=round(place.reading_tokens),
             peers=place.peers,
+            arbiter=place.arbiter,
             table_version=table_version,
         )
 
--- a/wigeonfall/forwarding/places.py
+++ b/wigeonfall/forwarding/places.py
@@ -320,6 +320,7 @@
             grant.outstanding,
             0,
             wish.size,
+            arbiter=self.arbiter,
         )
         self._held[place.id] = (waiting.service, place)
         waiting.future.set_result(place)
--- a/wigeonfall/forwarding/placing.py
+++ b/wigeonfall/forwarding/placing.py
@@ -32,6 +32,7 @@
         peers: instances whose load there is known.
         size: what the request asks of the target.
         reading: whether the prompt is not known to be read.
+        arbiter: instance that gave it, '' for this one.
     """
 
     id: str
@@ -42,6 +43,7 @@
     peers: int
     size: Size
     reading: bool = True
+    arbiter: str = ''
 
 
 class Placing:
