Let a customer over its limit use all of it

Cause: tokens admitted less than 0.1 s apart went into one bin whose time moved on with each, so that a steady load never left the window; and room was kept for all refused callers, also those who would not come back, from the moment of the refusal. Change: a bin ends 0.1 s after its first tokens. Room is kept from 0.5 s before to 0.5 s after the time that a caller was told, weighed by the share that came back lately, and only for callers that come back so late.

--- a/tests/forwarding/test_arbiter.py
+++ b/tests/forwarding/test_arbiter.py
@@ -12,7 +12,6 @@
 from wigeonfall.forwarding.arbiter import SILENT_S
 from wigeonfall.forwarding import asks
 from wigeonfall.forwarding.observations import Observations
-from wigeonfall.forwarding.places import Charge
 from wigeonfall.forwarding.places import Parts
 from wigeonfall.forwarding.places import Places
 from wigeonfall.forwarding.places import SUSPECT_S
@@ -22,6 +21,7 @@
 from wigeonfall.policy.arbiters import Candidate
 from wigeonfall.policy.room import Rooms
 from wigeonfall.policy.room import Size
+from wigeonfall.policy.token_quota import Charge
 from wigeonfall.policy.token_quota import OverLimit
 from wigeonfall.policy.waiting import Wish
 
@@ -106,10 +106,10 @@
     def note(self, event, **fields):
         self.events.append((event, fields))
 
-    def take(self, customer, tokens, returned, now_s):
-        if self.tokens + tokens > 1000:
+    def take(self, charge, now_s):
+        if self.tokens + charge.tokens > 1000:
             return OverLimit(1.5, self.tokens, 1000)
-        self.tokens += tokens
+        self.tokens += charge.tokens
         return None
 
     def give_back(self, customer, tokens):
--- a/tests/forwarding/test_asks.py
+++ b/tests/forwarding/test_asks.py
@@ -25,6 +25,7 @@
     customer=TEXTS,
     tokens=FIGURES,
     retried=strategies.booleans(),
+    most_wait_s=FIGURES,
 )
 HELD = strategies.builds(
     asks.Held, TEXTS, TEXTS, TEXTS, FIGURES, strategies.booleans()
--- a/tests/policy/test_token_quota.py
+++ b/tests/policy/test_token_quota.py
@@ -1,10 +1,14 @@
 """Tests of token limits over all instances."""
 
+import heapq
+
 from hypothesis import given
 from hypothesis import strategies as st
+import pytest
 
 from tests.policy.test_routing import make_customer
 from wigeonfall.policy import token_quota
+from wigeonfall.policy.token_quota import Charge
 from wigeonfall.policy.token_quota import Hearing
 from wigeonfall.policy.token_quota import Said
 from wigeonfall.policy.token_quota import TokenQuotas
@@ -22,90 +26,116 @@
     quotas = TokenQuotas()
     customer = make_customer()
     taken = 0
-    while quotas.take(customer, 100, False, PEERS, 5.0) is None:
+    while quotas.take(customer, Charge('c', 100, False), PEERS, 5.0) is None:
         taken += 100
     assert taken == LIMIT_TOKENS
 
 
 def test_no_limit_refuses_nothing():
     customer = make_customer(tokens_per_s=0.0)
-    assert TokenQuotas().take(customer, 1e9, False, PEERS, 0.0) is None
+    assert (
+        TokenQuotas().take(customer, Charge('c', 1e9, False), PEERS, 0.0)
+        is None
+    )
 
 
 def test_what_peers_took_counts():
     quotas = TokenQuotas()
     customer = make_customer()
-    quotas.take(customer, 100, False, PEERS, 0.0)
+    quotas.take(customer, Charge('c', 100, False), PEERS, 0.0)
     quotas.hear('peer', said(1, {'c': LIMIT_TOKENS - 200}), 0.0)
-    assert quotas.take(customer, 100, False, PEERS, 0.0) is None
-    assert quotas.take(customer, 100, False, PEERS, 0.0) is not None
+    assert quotas.take(customer, Charge('c', 100, False), PEERS, 0.0) is None
+    assert (
+        quotas.take(customer, Charge('c', 100, False), PEERS, 0.0) is not None
+    )
     # The same total again adds nothing, a new start of the peer does.
     quotas.hear('peer', said(1, {'c': LIMIT_TOKENS - 200}), 7.0)
-    assert quotas.take(customer, 100, False, PEERS, 9.0) is None
+    assert quotas.take(customer, Charge('c', 100, False), PEERS, 9.0) is None
 
 
 def test_a_silent_peer_is_taken_to_go_on_as_before():
     quotas = TokenQuotas()
     customer = make_customer()
-    quotas.take(customer, 100, False, PEERS, 0.0)
+    quotas.take(customer, Charge('c', 100, False), PEERS, 0.0)
     quotas.hear('peer', said(1, {'c': LIMIT_TOKENS - 1000}), 0.0)
     nobody = Hearing()
     later_s = token_quota.WINDOW_S + 1
-    assert quotas.take(customer, 1000, False, nobody, later_s) is None
-    assert quotas.take(customer, 100, False, nobody, later_s) is not None
+    assert (
+        quotas.take(customer, Charge('c', 1000, False), nobody, later_s)
+        is None
+    )
+    assert (
+        quotas.take(customer, Charge('c', 100, False), nobody, later_s)
+        is not None
+    )
     quotas.hear('peer', said(2, {}), later_s)
-    assert quotas.take(customer, 100, False, PEERS, later_s) is None
+    assert (
+        quotas.take(customer, Charge('c', 100, False), PEERS, later_s) is None
+    )
 
 
 def test_a_peer_that_is_forgotten_counts_no_more():
     quotas = TokenQuotas()
     customer = make_customer()
     quotas.hear('peer', said(1, {'c': LIMIT_TOKENS}), 0.0)
-    assert quotas.take(customer, 100, False, Hearing(), 1.0) is not None
+    assert (
+        quotas.take(customer, Charge('c', 100, False), Hearing(), 1.0)
+        is not None
+    )
     quotas.forget(())
-    assert quotas.take(customer, 100, True, Hearing(), 1.0) is None
+    assert (
+        quotas.take(customer, Charge('c', 100, True), Hearing(), 1.0) is None
+    )
 
 
 def test_tokens_of_a_request_that_did_not_run_return():
     quotas = TokenQuotas()
     customer = make_customer()
-    quotas.take(customer, LIMIT_TOKENS, False, PEERS, 0.0)
+    quotas.take(customer, Charge('c', LIMIT_TOKENS, False), PEERS, 0.0)
     quotas.give_back('c', LIMIT_TOKENS, 1.0)
-    assert quotas.take(customer, LIMIT_TOKENS, False, PEERS, 1.0) is None
+    assert (
+        quotas.take(customer, Charge('c', LIMIT_TOKENS, False), PEERS, 1.0)
+        is None
+    )
     assert quotas.taken() == {'c': LIMIT_TOKENS}
 
 
 def test_a_lower_limit_does_not_count_what_ran_before_it():
     quotas = TokenQuotas()
-    quotas.take(make_customer(), LIMIT_TOKENS, False, PEERS, 0.0)
+    quotas.take(make_customer(), Charge('c', LIMIT_TOKENS, False), PEERS, 0.0)
     lower = make_customer(tokens_per_s=100.0, burst_tokens=100.0)
-    assert quotas.take(lower, 900, False, PEERS, 1.0) is None
-    assert quotas.take(lower, 100, False, PEERS, 1.0) is not None
+    assert quotas.take(lower, Charge('c', 900, False), PEERS, 1.0) is None
+    assert quotas.take(lower, Charge('c', 100, False), PEERS, 1.0) is not None
 
 
 def test_room_is_kept_for_a_caller_that_was_told_to_come_back():
     """A caller refused once is not overtaken by others and refused again."""
     quotas = TokenQuotas()
     customer = make_customer()
-    quotas.take(customer, LIMIT_TOKENS, False, PEERS, 0.0)
-    over = quotas.take(customer, 6000, False, PEERS, 2.0)
+    quotas.take(customer, Charge('c', LIMIT_TOKENS, False), PEERS, 0.0)
+    over = quotas.take(customer, Charge('c', 6000, False), PEERS, 2.0)
     assert over is not None and over.delay_s == 6.0
     # At its return others have room too, but only for what is left.
-    assert quotas.take(customer, 5000, False, PEERS, 8.1) is not None
-    assert quotas.take(customer, 6000, True, PEERS, 8.2) is None
+    assert (
+        quotas.take(customer, Charge('c', 5000, False), PEERS, 8.1) is not None
+    )
+    assert quotas.take(customer, Charge('c', 6000, True), PEERS, 8.2) is None
 
 
 def test_instances_that_all_started_lately_allow_what_the_rate_leaves():
     """All were killed while a customer was at its limit, and began anew."""
     before = TokenQuotas()
     customer = make_customer()
-    while before.take(customer, 100, False, PEERS, 7.9) is None:
+    while before.take(customer, Charge('c', 100, False), PEERS, 7.9) is None:
         pass
     quotas = TokenQuotas(started_s=8.0)
     admitted = 0
     for step in range(80):
         now_s = 8.0 + step / 10
-        while quotas.take(customer, 100, True, ALL_YOUNG, now_s) is None:
+        while (
+            quotas.take(customer, Charge('c', 100, True), ALL_YOUNG, now_s)
+            is None
+        ):
             admitted += 100
         assert admitted <= customer.burst_tokens + 1000.0 * (step / 10 + 0.1)
     assert admitted >= LIMIT_TOKENS - 1500
@@ -115,8 +145,13 @@
     quotas = TokenQuotas(started_s=100.0)
     customer = make_customer()
     quotas.hear('peer', Said(1, {'c': 9e6}, {'c': 3000.0}), 100.0)
-    assert quotas.take(customer, 7000, False, PEERS, 100.1) is None
-    assert quotas.take(customer, 100, False, PEERS, 100.1) is not None
+    assert (
+        quotas.take(customer, Charge('c', 7000, False), PEERS, 100.1) is None
+    )
+    assert (
+        quotas.take(customer, Charge('c', 100, False), PEERS, 100.1)
+        is not None
+    )
 
 
 @given(
@@ -138,7 +173,10 @@
     for gap_s, tokens, at, returned in arrivals:
         now_s += gap_s
         quotas = instances[at]
-        if quotas.take(customer, tokens, returned, PEERS, now_s) is None:
+        if (
+            quotas.take(customer, Charge('c', tokens, returned), PEERS, now_s)
+            is None
+        ):
             admitted.append((now_s, tokens))
             for number, other in enumerate(instances):
                 if number != at:
@@ -151,3 +189,38 @@
         start_s = end_s - token_quota.WINDOW_S
         used = sum(n for at_s, n in admitted if start_s < at_s <= end_s)
         assert used <= LIMIT_TOKENS
+
+
+def served_share(pace, returning):
+    """Return how much of a limit is used, and who of the returned is served.
+
+    Load pattern: a customer sends a multiple of its rate for a minute through
+    one instance, and some of the refused callers come back when told.
+    """
+    quotas = TokenQuotas()
+    customer = make_customer(tokens_per_s=1000.0, burst_tokens=0.0)
+    arrivals = [(n * 0.1 / pace, n, False) for n in range(int(600 * pace))]
+    heapq.heapify(arrivals)
+    admitted = 0.0
+    outcomes = []
+    while arrivals:
+        now_s, number, returned = heapq.heappop(arrivals)
+        charge = Charge('c', 100, returned, 3.0)
+        over = quotas.take(customer, charge, PEERS, now_s)
+        if over is None:
+            admitted += 100 if now_s >= 20.0 else 0
+        if returned:
+            outcomes.append(over is None)
+        elif over and over.delay_s <= 3.0 and number % 10 < returning * 10:
+            heapq.heappush(arrivals, (now_s + over.delay_s, number, True))
+    return admitted / 40_000.0, sum(outcomes) / max(1, len(outcomes))
+
+
+@pytest.mark.parametrize('returning', (0.0, 0.5, 1.0))
+@pytest.mark.parametrize('pace', (1.2, 2.0, 6.0))
+def test_a_customer_far_over_its_limit_still_gets_most_of_it(pace, returning):
+    """A steady load is not taken for one moment that never passes."""
+    share, returned = served_share(pace, returning)
+    assert share > 0.9
+    if returning == 1.0:
+        assert returned > 0.8
--- a/wigeonfall/forwarding/arbiter.py
+++ b/wigeonfall/forwarding/arbiter.py
@@ -14,6 +14,7 @@
 from ..events import Event
 from ..policy.room import Rooms
 from ..policy.room import Size
+from ..policy.token_quota import Charge
 from ..policy.token_quota import OverLimit
 from ..policy.waiting import Wish
 from ..recorder import Record
@@ -80,7 +81,7 @@
         name: str,
         rooms: Rooms,
         placing: Placing,
-        take: Callable[[str, float, bool, float], OverLimit | None],
+        take: Callable[[Charge, float], OverLimit | None],
         give_back: Callable[[str, float], None],
         send: Callable[[Answering, str], None],
         record: Record,
@@ -176,7 +177,7 @@
             ):
                 continue
             if ask.customer:
-                over = self._take(ask.customer, ask.tokens, ask.retried, now_s)
+                over = self._take(_charge(ask), now_s)
                 if over is not None:
                     client.denied[ask.id] = _over(ask.id, over)
                     continue
@@ -255,6 +256,10 @@
             self._send(message, client.address)
 
 
+def _charge(ask: Ask) -> Charge:
+    return Charge(ask.customer, ask.tokens, ask.retried, ask.most_wait_s)
+
+
 def _grant(wish_id: str, place: Place) -> Grant:
     return Grant(
         wish_id,
--- a/wigeonfall/forwarding/asks.py
+++ b/wigeonfall/forwarding/asks.py
@@ -42,6 +42,7 @@
         customer: customer whose tokens are taken, '' if they were.
         tokens: these tokens.
         retried: whether its caller was refused for its limit before.
+        most_wait_s: longest delay after which its caller comes back.
     """
 
     id: str
@@ -59,6 +60,7 @@
     customer: str
     tokens: float
     retried: bool
+    most_wait_s: float
 
 
 @attrs.frozen
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -281,14 +281,14 @@
         )
 
     def _take_tokens(
-        self, customer: str, tokens: float, returned: bool, now_s: float
+        self, charge: token_quota.Charge, now_s: float
     ) -> token_quota.OverLimit | None:
         index = self._in_force.index
-        holder = index.by_name.get(customer) if index else None
+        holder = index.by_name.get(charge.customer) if index else None
         if holder is None:
             return None
         return self._quotas.take(
-            holder, tokens, returned, self._fleet.hearing(now_s), now_s
+            holder, charge, self._fleet.hearing(now_s), now_s
         )
 
     def _give_tokens_back(self, customer: str, tokens: float) -> None:
--- a/wigeonfall/forwarding/path.py
+++ b/wigeonfall/forwarding/path.py
@@ -12,6 +12,7 @@
 from . import attempt as attempt_module
 from ..policy import resend_budget
 from ..policy import routing
+from ..policy.token_quota import Charge
 from ..policy.token_quota import OverLimit
 from ..policy import waiting
 from ..recorder import Record
@@ -23,7 +24,6 @@
 from .dialect import Dialect
 from .outcomes import Outcomes
 from .outcomes import Progress
-from .places import Charge
 from .places import Places
 from .placing import Place
 from .work import match
@@ -322,7 +322,12 @@
 def _charge(work: Work, returned: bool) -> Charge | None:
     if work.customer is None:
         return None
-    return Charge(work.customer.name, work.tokens, returned)
+    return Charge(
+        work.customer.name,
+        work.tokens,
+        returned,
+        waiting.RETRY_SHARE * work.caller_s,
+    )
 
 
 def make_resends(
--- a/wigeonfall/forwarding/places.py
+++ b/wigeonfall/forwarding/places.py
@@ -14,6 +14,7 @@
 from ..events import Event
 from ..policy import arbiters
 from ..policy.arbiters import Candidate
+from ..policy.token_quota import Charge
 from ..policy.token_quota import OverLimit
 from ..policy.waiting import Wish
 from ..recorder import Record
@@ -36,21 +37,6 @@
 SUSPECT_S = 1.0  # for which a silent arbiter gets no questions
 
 
-@attrs.frozen
-class Charge:
-    """Tokens that a request takes from its customer's limit.
-
-    Attributes:
-        customer: name of the customer.
-        tokens: the tokens.
-        returned: whether its caller was refused before.
-    """
-
-    customer: str
-    tokens: float
-    returned: bool
-
-
 Outcome: TypeAlias = Place | OverLimit | None
 
 
@@ -97,7 +83,7 @@
     unsuited: Callable[[str, Wish], set[str]]
     candidates: Callable[[float], list[Candidate]]
     instances: Callable[[float], int]
-    take: Callable[[str, float, bool, float], OverLimit | None]
+    take: Callable[[Charge, float], OverLimit | None]
     give_back: Callable[[str, float], None]
     send: Callable[[Asking, str], None]
     record: Record
@@ -283,12 +269,7 @@
     ) -> Outcome:
         parts = self._parts
         if charge is not None:
-            over = parts.take(
-                charge.customer,
-                charge.tokens,
-                charge.returned,
-                time.monotonic(),
-            )
+            over = parts.take(charge, time.monotonic())
             if over is not None:
                 return over
         place = None
@@ -390,4 +371,5 @@
         customer=charge.customer if charge else '',
         tokens=charge.tokens if charge else 0.0,
         retried=charge.returned if charge else False,
+        most_wait_s=round(charge.most_wait_s, 3) if charge else 0.0,
     )
--- a/wigeonfall/policy/token_quota.py
+++ b/wigeonfall/policy/token_quota.py
@@ -9,8 +9,9 @@
 taken to use its part of each limit.
 Instances that have just started do not know what ran before: as far as none
 can tell, each customer is taken to have used its rate.
-A caller that is refused is told when there will be room, and that room is kept
-for it.
+A caller that is refused is told when there will be room. That room is kept for
+it around that time, as far as callers lately came back, and it is not promised
+to one that would not come back so late.
 """
 
 import collections
@@ -26,22 +27,42 @@
 WINDOW_S = 8.0  # length of the published window
 BIN_S = 0.1  # tokens of this time are counted together
 WAIT_LEAST_S = 0.2
-KEPT_S = 1.5  # that room is kept for a caller that was told when to come
+KEPT_BEFORE_S = 0.5  # that room is kept before a caller is to come
+KEPT_S = 0.5  # that it is kept after that
+RETURN_GAIN = 0.05  # weight of one caller in the share that comes back
+RETURN_SHARE_FIRST = 1.0  # until some did not come back
 
 
 @attrs.define
 class Taken:
-    """Tokens that were admitted at one time.
+    """Tokens that were admitted within a short time.
 
     Attributes:
-        at_s: the time, on the monotonic clock.
+        from_s: the time of the first, on the monotonic clock.
+        at_s: the time of the last.
         tokens: the tokens; below zero if they were given back.
     """
 
+    from_s: float
     at_s: float
     tokens: float
 
 
+@attrs.frozen
+class Promise:
+    """Tokens that are kept for a caller that was told to come back.
+
+    Attributes:
+        from_s: when others get no more of them, on the monotonic clock.
+        until_s: when they are kept no more.
+        tokens: the tokens.
+    """
+
+    from_s: float
+    until_s: float
+    tokens: float
+
+
 @attrs.define
 class Window:
     """What one instance admitted lately for a customer.
@@ -60,12 +81,12 @@
         """Count tokens that were admitted or given back."""
         self.all_tokens += tokens
         self.used_tokens += tokens
-        if self.taken and now_s - self.taken[-1].at_s < BIN_S:
+        if self.taken and now_s - self.taken[-1].from_s < BIN_S:
             # The later time keeps them in the window long enough.
             self.taken[-1].at_s = now_s
             self.taken[-1].tokens += tokens
         else:
-            self.taken.append(Taken(now_s, tokens))
+            self.taken.append(Taken(now_s, now_s, tokens))
 
     def drop_old(self, now_s: float) -> None:
         """Forget what the window has passed."""
@@ -86,14 +107,15 @@
         limit_tokens: most tokens in a window, as last seen.
         own: what this instance admitted.
         peers: what peers admitted, by their names.
-        promised: tokens that refused callers were told to come back for, by
-            the time until which they are kept.
+        promises: tokens that refused callers were told to come back for.
+        return_share: part of these callers that lately came back.
     """
 
     limit_tokens: float = 0.0
     own: Window = attrs.field(factory=Window)
     peers: dict[str, Window] = attrs.field(factory=dict)
-    promised: collections.deque[Taken] = attrs.field(factory=collections.deque)
+    promises: list[Promise] = attrs.field(factory=list)
+    return_share: float = RETURN_SHARE_FIRST
 
     def used_tokens(self) -> float:
         """Return the tokens that all instances used."""
@@ -101,8 +123,26 @@
         return self.own.used_tokens + peers
 
     def promised_tokens(self) -> float:
-        """Return the tokens that are kept for callers."""
-        return sum(promise.tokens for promise in self.promised)
+        """Return the tokens that callers are expected to come back for."""
+        return self.return_share * sum(p.tokens for p in self.promises)
+
+    def kept_tokens(self, now_s: float) -> float:
+        """Return the tokens that nobody else gets as of now."""
+        due = sum(p.tokens for p in self.promises if p.from_s <= now_s)
+        return self.return_share * due
+
+    def promise(self, tokens: float, delay_s: float, now_s: float) -> None:
+        """Keep tokens for a caller that comes back after a delay."""
+        due_s = now_s + delay_s
+        self.promises.append(
+            Promise(due_s - KEPT_BEFORE_S, due_s + KEPT_S, tokens)
+        )
+
+    def came_back(self) -> None:
+        """Drop the promise that was due first; a caller came for it."""
+        self.return_share += RETURN_GAIN * (1.0 - self.return_share)
+        if self.promises:
+            self.promises.remove(min(self.promises, key=lambda p: p.from_s))
 
     def set_limit(self, limit_tokens: float) -> None:
         """Take the present limit."""
@@ -118,8 +158,10 @@
         for name, window in self.peers.items():
             if name in heard:
                 window.drop_old(now_s)
-        while self.promised and self.promised[0].at_s <= now_s:
-            self.promised.popleft()
+        kept = [p for p in self.promises if p.until_s > now_s]
+        for _ in range(len(self.promises) - len(kept)):
+            self.return_share -= RETURN_GAIN * self.return_share
+        self.promises = kept
 
     def room_s(self, missing_tokens: float, now_s: float) -> float:
         """Return the time until that many tokens leave the window."""
@@ -166,6 +208,23 @@
     reach: float = 1.0
 
 
+@attrs.frozen
+class Charge:
+    """Tokens that a request takes from its customer's limit.
+
+    Attributes:
+        customer: name of the customer.
+        tokens: the tokens.
+        returned: whether its caller was refused before.
+        most_wait_s: longest delay after which its caller comes back.
+    """
+
+    customer: str
+    tokens: float
+    returned: bool
+    most_wait_s: float = WINDOW_S
+
+
 @attrs.frozen
 class OverLimit:
     """Why a customer gets no tokens now.
@@ -196,8 +255,7 @@
     def take(
         self,
         customer: KeyHolder,
-        tokens: float,
-        returned: bool,
+        charge: Charge,
         hearing: Hearing,
         now_s: float,
     ) -> OverLimit | None:
@@ -205,8 +263,7 @@
 
         Args:
             customer: the customer with its present limit.
-            tokens: tokens of the request.
-            returned: whether its caller was refused before.
+            charge: what the request takes.
             hearing: which peers are heard.
             now_s: present time on the monotonic clock.
 
@@ -215,6 +272,7 @@
         """
         if customer.tokens_per_s <= 0:
             return None
+        tokens, returned = charge.tokens, charge.returned
         usage = self._usages.setdefault(customer.name, Usage())
         limit = customer.tokens_per_s * WINDOW_S + customer.burst_tokens
         usage.set_limit(limit)
@@ -224,21 +282,22 @@
         unseen = customer.tokens_per_s * unseen_s * hearing.young_share
         used = usage.used_tokens() + unseen
         missing = used + tokens - limit
-        if not returned:
-            missing += usage.promised_tokens()
+        if returned:
+            usage.came_back()
+        else:
+            missing += usage.kept_tokens(now_s)
         # One that is larger than the whole limit waits for an empty window.
         oversized = tokens > limit and used <= 0
         if missing > 0 and not oversized:
             pace = customer.tokens_per_s * hearing.young_share
+            # Those who were told earlier come first.
+            missing = used + tokens + usage.promised_tokens() - limit
             delay_s = usage.room_s(missing, now_s)
             if unseen:
                 delay_s = min(delay_s, max(WAIT_LEAST_S, missing / pace))
-            if not returned:
-                kept = Taken(now_s + delay_s + KEPT_S, tokens)
-                usage.promised.append(kept)
+            if not returned and delay_s <= charge.most_wait_s:
+                usage.promise(tokens, delay_s, now_s)
             return OverLimit(delay_s, used, limit)
-        if returned and usage.promised:
-            usage.promised.popleft()
         usage.own.add(tokens, now_s)
         return None
 
