--- /dev/null
+++ b/bench/arbiter.py
@@ -0,0 +1,182 @@
+"""Measures what an arbiter costs, by instances, targets and waiting requests.
+
+Run with `python -m bench.arbiter --output bench/results/arbiter.json`. The
+messages of all instances are made and read by the product's code in one
+process, without a network.
+"""
+
+import asyncio
+import itertools
+import json
+import pathlib
+import time
+from typing import Any
+
+import attrs
+import typer
+
+from wigeonfall.forwarding.arbiter import Arbiter
+from wigeonfall.forwarding import asks
+from wigeonfall.forwarding.placing import Placing
+from wigeonfall.model.target import Target
+from wigeonfall.policy.room import Rooms
+
+REQUESTS = 3000
+WARM_UP = 500
+
+app = typer.Typer()
+
+
+@attrs.define
+class _Caller:
+    """An instance that asks for places and gives them back."""
+
+    name: str
+    sequence: int = 0
+    waiting: dict[str, asks.Ask] = attrs.field(factory=dict)
+    held: dict[str, asks.Held] = attrs.field(factory=dict)
+
+    def message(self) -> asks.Asking:
+        """Return all that is open."""
+        self.sequence += 1
+        return asks.Asking(
+            self.name,
+            1,
+            self.sequence,
+            self.name,
+            tuple(self.waiting.values()),
+            tuple(self.held.values()),
+            (),
+        )
+
+
+def _ask(number: int) -> asks.Ask:
+    return asks.Ask(
+        id=f'{number:016x}/1',
+        service='s',
+        rank=number % 3,
+        returned=False,
+        age_s=0.01,
+        goal_s=0.6,
+        patience_s=3.0,
+        left_s=12.0,
+        wait_s=1000.0,
+        prompt_tokens=1800.0,
+        answer_tokens=200.0,
+        unsuited=(),
+        customer='',
+        tokens=0.0,
+        retried=False,
+        most_wait_s=0.0,
+    )
+
+
+class _Bench:
+    """One arbiter, and instances that keep so many requests waiting."""
+
+    def __init__(self, instances: int, targets: int, waiting: int) -> None:
+        names = tuple(f'i-{number:010x}' for number in range(targets))
+        rooms = Rooms('dc')
+        rooms.set_targets(
+            Target(name, 's', 'dc', f'10.0.0.1:{number}', slots=7)
+            for number, name in enumerate(names, 1)
+        )
+        for name in names:
+            rooms.observed_first(name, 0, 0.05, time.monotonic())
+        self.callers = {
+            f'n{number}': _Caller(f'n{number}') for number in range(instances)
+        }
+        self._turns = itertools.cycle(self.callers.values())
+        self._numbers = itertools.count()
+        self._arbiter = Arbiter(
+            name='arbiter',
+            rooms=rooms,
+            placing=Placing(rooms, lambda _: names, lambda: (), lambda: None),
+            take=lambda _charge, _now_s: None,
+            give_back=lambda _customer, _tokens: None,
+            send=self._answered,
+            record=lambda *_args, **_fields: None,
+        )
+        self._most = targets * 7 + waiting
+        self._order: list[tuple[_Caller, str]] = []
+        self.placed = 0
+        self.bytes = 0
+
+    def _answered(self, message: asks.Answering, address: str) -> None:
+        self.bytes += len(asks.encode(message))
+        caller = self.callers[address]
+        for grant in message.grants:
+            ask = caller.waiting.pop(grant.id, None)
+            if ask is not None:
+                caller.held[grant.id] = asks.Held(
+                    grant.id, 's', grant.target, ask.prompt_tokens, True
+                )
+                self._order.append((caller, grant.id))
+                self.placed += 1
+
+    def open(self) -> int:
+        """Return the requests that wait or run."""
+        return sum(len(c.waiting) + len(c.held) for c in self.callers.values())
+
+    def _tell(self, caller: _Caller) -> None:
+        data = asks.encode(caller.message())
+        self.bytes += len(data)
+        message = asks.decode(data)
+        assert isinstance(message, asks.Asking)
+        self._arbiter.hear(message, time.monotonic())
+
+    async def run(self, requests: int) -> None:
+        """Let so many requests be placed."""
+        until = self.placed + requests
+        while self.placed < until:
+            while self.open() < self._most:
+                caller = next(self._turns)
+                ask = _ask(next(self._numbers))
+                caller.waiting[ask.id] = ask
+                self._tell(caller)
+            await asyncio.sleep(0.008)
+            ended, self._order = self._order[:20], self._order[20:]
+            for caller, wish_id in ended:
+                del caller.held[wish_id]
+                self._tell(caller)
+
+
+async def _measure(
+    instances: int, targets: int, waiting: int
+) -> dict[str, Any]:
+    bench = _Bench(instances, targets, waiting)
+    await bench.run(WARM_UP)
+    began_s = time.process_time()
+    bench.placed, bench.bytes = 0, 0
+    await bench.run(REQUESTS)
+    # The bench itself makes the messages; what it takes is counted too.
+    spent_s = time.process_time() - began_s
+    return {
+        'instances': instances,
+        'targets': targets,
+        'waiting': waiting,
+        'processor_us_a_request': round(spent_s / bench.placed * 1e6),
+        'bytes_a_request': round(bench.bytes / bench.placed),
+    }
+
+
+@app.command()
+def main(output: pathlib.Path) -> None:
+    """Measure some sizes and write the results as JSON."""
+    results = [
+        asyncio.run(_measure(instances, targets, waiting))
+        for instances, targets, waiting in (
+            (20, 15, 0),
+            (75, 45, 0),
+            (75, 45, 50),
+            (75, 45, 200),
+            (300, 180, 200),
+        )
+    ]
+    output.write_text(json.dumps(results, indent=1) + '\n', 'utf-8')
+    for result in results:
+        print(result)
+
+
+if __name__ == '__main__':
+    app()
--- a/tests/forwarding/test_arbiter.py
+++ b/tests/forwarding/test_arbiter.py
@@ -103,6 +103,11 @@
             self.note,
         )
 
+    def waiting(self):
+        """Return the number of requests that wait here."""
+        counts = self.placing.waiting().get('s', {})
+        return sum(counts.values())
+
     def note(self, event, **fields):
         self.events.append((event, fields))
 
@@ -198,25 +203,30 @@
     """Load pattern: dozens of instances ask for more than all targets run."""
     async with Net(30, loss) as net:
         running, most, order = 0, 0, []
+        all_wait = asyncio.Event()
 
         async def call(number, rank):
             nonlocal running, most
             node = net[number % 30]
-            wish = make_wish(f'r{number}', rank)
-            place = await ask(node, wish)
+            place = await ask(node, make_wish(f'r{number}', rank))
             order.append(rank)
             running += 1
             most = max(most, running)
             node.places.began(place)
+            await all_wait.wait()
             await asyncio.sleep(0.05)
             running -= 1
             node.places.release('s', place)
 
         calls = [asyncio.create_task(call(n, 0)) for n in range(SLOTS)]
-        await asyncio.sleep(0.3 if loss else 0.02)
+        while len(order) < SLOTS:
+            await asyncio.sleep(0.01)
         calls += [
             asyncio.create_task(call(20 + n, 1 - n % 2)) for n in range(60)
         ]
+        while not loss and net[0].waiting() < 60:
+            await asyncio.sleep(0.01)
+        all_wait.set()
         await asyncio.gather(*calls)
         assert most <= SLOTS
         if not loss:
--- a/wigeonfall/forwarding/arbiter.py
+++ b/wigeonfall/forwarding/arbiter.py
@@ -182,7 +182,9 @@
                     client.denied[ask.id] = _over(ask.id, over)
                     continue
                 client.charges[ask.id] = (ask.customer, ask.tokens)
-            future = self._placing.submit(ask.service, _wish(name, ask, now_s))
+            future = self._placing.submit(
+                ask.service, _wish(name, ask, now_s), soon=True
+            )
             client.waiting[ask.id] = future
             decided = functools.partial(self._decided, name, client, ask)
             future.add_done_callback(decided)
--- a/wigeonfall/forwarding/placing.py
+++ b/wigeonfall/forwarding/placing.py
@@ -17,6 +17,7 @@
 TICK_S = 0.02  # shorter than what a caller notices
 CROWD = 16  # waiting requests that are not gone through at each event
 CROWD_PUMP_S = 0.005  # far below the goals of callers
+TOGETHER_S = 0.002  # requests of this time are placed together
 
 
 @attrs.define
@@ -91,10 +92,15 @@
         return count / max(1.0, places)
 
     def submit(
-        self, service: str, wish: Wish
+        self, service: str, wish: Wish, soon: bool = False
     ) -> 'asyncio.Future[Place | None]':
         """Let a request wait for a target.
 
+        Args:
+            service: service of the target.
+            wish: the request.
+            soon: place it in a short while, together with others.
+
         Returns:
             What becomes of it: a place, which must be returned by release,
             or None if no target had room in time. Who cancels it must
@@ -106,8 +112,8 @@
         future.add_done_callback(lambda _: self._futures.pop(wish.id, None))
         queue.add(wish)
         self._busy.set()
-        if len(queue) > CROWD:
-            self._pump_soon(service)
+        if soon or len(queue) > CROWD:
+            self._pump_soon(service, TOGETHER_S if soon else CROWD_PUMP_S)
         else:
             self.pump(service)
         if not future.done():
@@ -151,7 +157,7 @@
         if queue is not None and len(queue):
             queue.freed()
             if len(queue) > CROWD:
-                self._pump_soon(service)
+                self._pump_soon(service, CROWD_PUMP_S)
             else:
                 self.pump(service)
         self._changed()
@@ -203,12 +209,12 @@
             if not any(len(queue) for queue in self._queues.values()):
                 self._busy.clear()
 
-    def _pump_soon(self, service: str) -> None:
+    def _pump_soon(self, service: str, delay_s: float) -> None:
         """Place what waits in a short while, once for all that comes."""
         if service not in self._pumps:
             loop = asyncio.get_running_loop()
             self._pumps[service] = loop.call_later(
-                CROWD_PUMP_S, self._pump_crowd, service
+                delay_s, self._pump_crowd, service
             )
 
     def _pump_crowd(self, service: str) -> None:
--- a/wigeonfall/policy/room.py
+++ b/wigeonfall/policy/room.py
@@ -137,6 +137,8 @@
             joined(self.reading_s, reading, now_s),
             joined(self.writing_s, writing, now_s),
             BASE_TOKENS + self.reading_tokens(),
+            self.outstanding,
+            self.free,
         )
 
 
@@ -149,24 +151,43 @@
         reading_s: seconds for a token of a prompt, 0 if unknown.
         writing_s: seconds for a token of an answer, 0 if unknown.
         tokens_before: what is read before a new prompt.
+        outstanding: requests of all instances outstanding there.
+        free: requests that it still has room for.
     """
 
     room: TargetRoom
     reading_s: float
     writing_s: float
     tokens_before: float
+    outstanding: int
+    free: float
 
     def first_s(self, size: Size) -> float:
         """Return the predicted time to a first event, 0 if unknown."""
         return self.reading_s * (self.tokens_before + size.prompt_tokens)
 
-    def answer_s(self, size: Size) -> float:
-        """Return the predicted time from there to the end."""
-        return self.writing_s * size.answer_tokens
+    def placed(self, size: Size) -> None:
+        """Count a request that is placed there."""
+        self.tokens_before += size.prompt_tokens
+        self.outstanding += 1
+        self.free -= 1
+
+
+class Best:
+    """The best times that any of some targets promises."""
+
+    def __init__(self, outlooks: Iterable[Outlook]) -> None:
+        self._reading = [(o.reading_s, o.tokens_before) for o in outlooks]
+        self._writing_s = min((o.writing_s for o in outlooks), default=0.0)
 
-    def whole_s(self, size: Size) -> float:
-        """Return the predicted time to the end."""
-        return self.first_s(size) + self.answer_s(size)
+    def first_s(self, size: Size) -> float:
+        """Return the least time to a first event."""
+        tokens = size.prompt_tokens
+        return min([s * (before + tokens) for s, before in self._reading])
+
+    def answer_s(self, size: Size) -> float:
+        """Return the least time from there to the end."""
+        return self._writing_s * size.answer_tokens
 
 
 @attrs.frozen
@@ -359,17 +380,20 @@
             The best target, or None if none has room in time. A target that
             would not end in time is left out if another one would.
         """
-        sound = [o for o in outlooks if o.room.suspect_until_s <= now_s]
-        left_s = bounds.left_s
-        in_time = [o for o in sound if o.whole_s(size) <= left_s]
         best: Outlook | None = None
         best_cost = 0.0
-        for outlook in in_time or sound:
-            room = outlook.room
-            if room.free < 1:
+        best_in_time = False
+        for outlook in outlooks:
+            if outlook.room.suspect_until_s > now_s:
                 continue
             first_s = outlook.first_s(size)
-            if not first_s and room.outstanding >= UNSEEN_REQUESTS:
+            answer_s = outlook.writing_s * size.answer_tokens
+            in_time = first_s + answer_s <= bounds.left_s
+            if in_time and not best_in_time:
+                best, best_in_time = None, True
+            if outlook.free < 1 or in_time < best_in_time:
+                continue
+            if not first_s and outlook.outstanding >= UNSEEN_REQUESTS:
                 continue
             if first_s > bounds.patience_s:
                 continue
@@ -382,10 +406,10 @@
         self, outlook: Outlook, first_s: float, size: Size, bounds: Bounds
     ) -> float:
         room = outlook.room
-        cost = first_s + ANSWER_SHARE * outlook.answer_s(size)
+        cost = first_s + ANSWER_SHARE * outlook.writing_s * size.answer_tokens
         # A long prompt holds up all that run there.
         prompt_s = outlook.reading_s * size.prompt_tokens
-        cost += HOLD_UP_SHARE * room.outstanding * prompt_s
+        cost += HOLD_UP_SHARE * outlook.outstanding * prompt_s
         if first_s > bounds.goal_s:
             cost *= LATE_COST
         cost *= 1 + FAILURE_COST * room.failures
--- a/wigeonfall/policy/waiting.py
+++ b/wigeonfall/policy/waiting.py
@@ -20,6 +20,7 @@
 
 import attrs
 
+from .room import Best
 from .room import Bounds
 from .room import Outlook
 from .room import Rooms
@@ -199,7 +200,7 @@
         self._classify(outlooks, now_s)
         self._hold_lottery(outlooks, peers_waiting, now_s)
         for wish in sorted(self._wishes.values(), key=self._order):
-            if not any(outlook.room.free >= 1 for outlook in outlooks):
+            if not any(outlook.free >= 1 for outlook in outlooks):
                 break
             if not self._may_take(wish, peers_waiting):
                 return
@@ -215,7 +216,7 @@
             del self._wishes[wish.id]
             self._count_place(peers_waiting)
             self._rooms.sent(chosen.room.target.name, wish.size)
-            chosen.tokens_before += wish.size.prompt_tokens
+            chosen.placed(wish.size)
             yield wish, chosen.room
         self._own_places = 0
 
@@ -225,10 +226,11 @@
         if now_s - self._classified_s >= CLASSIFY_S:
             self._classified_s = now_s
             known = {}
+        best = Best(outlooks) if outlooks else None
         self._classes = {
             name: known[name]
             if name in known
-            else _class_of(wish, outlooks, now_s)
+            else _class_of(wish, best, now_s)
             for name, wish in self._wishes.items()
         }
 
@@ -264,20 +266,19 @@
         mine = sum(number == first for number in self._classes.values())
         above = sum(n for c, n in peers_waiting.items() if c < first)
         same = peers_waiting.get(first, 0)
-        free = sum(max(0, int(o.room.free)) for o in outlooks) - above
+        free = sum(max(0, int(o.free)) for o in outlooks) - above
         part = max(0.0, free * mine / max(1, mine + same))
         self._won = int(part) + (self._draw() < part - int(part))
 
 
-def _class_of(wish: Wish, outlooks: list[Outlook], now_s: float) -> int:
+def _class_of(wish: Wish, best: Best | None, now_s: float) -> int:
     """Return the place of a wish in the order; smaller ones go first."""
     number = wish.rank * _CLASSES
-    if not outlooks:
+    if best is None:
         return number
-    first_s = min(outlook.first_s(wish.size) for outlook in outlooks)
+    first_s = best.first_s(wish.size)
     if now_s + first_s + WAY_S > wish.goal_s:
         return number + (_BACK if wish.returned else _LATE)
-    answer_s = min(outlook.answer_s(wish.size) for outlook in outlooks)
-    if first_s + answer_s <= SHORT_S:
+    if first_s + best.answer_s(wish.size) <= SHORT_S:
         return number + _IN_TIME - SHORT_ADVANCE
     return number + _IN_TIME
