Queue the log lines of all processes

Cause: a reader of standard output that stops would stop serve, which wrote its lines itself since test_stops hung; that had another cause. Change: serve queues its lines again; the way without a queue is gone, and with it one case of a test that named both ways.

--- a/tests/test_recorder.py
+++ b/tests/test_recorder.py
@@ -56,23 +56,17 @@
     assert list(entries) == sorted(entries, key=lambda e: e.stamp)
 
 
-@pytest.mark.parametrize('queued', [False, True])
 def test_log_lines_are_read_back_and_keep_to_the_level(
     capsys: pytest.CaptureFixture[str],
-    queued: bool,
 ) -> None:
     logger = logging.getLogger('wigeonfall')
     before = logger.handlers, logger.level, logger.propagate
     try:
-        if queued:
-            lines = recorder.queue_to_stdout('WARNING')
-        else:
-            recorder.log_to_stdout('WARNING')
+        lines = recorder.queue_to_stdout('WARNING')
         made = recorder.Recorder('z1', clock.HybridClock())
         made.record(Event.PEER_REACHABLE, peer='a')
         made.record(Event.PEER_UNREACHABLE, peer='b')
-        if queued:
-            lines.stop()
+        lines.stop()
     finally:
         logger.handlers, level, logger.propagate = before
         logger.setLevel(level)
--- a/wigeonfall/cli.py
+++ b/wigeonfall/cli.py
@@ -48,13 +48,17 @@
     )
     if isinstance(configuration, Err):
         _fail(configuration.err_value)
-    recorder.log_to_stdout(process_settings.log.level)
+    lines = recorder.queue_to_stdout(process_settings.log.level)
     try:
         made = assembly.make_process(process_settings, configuration.ok_value)
     except errors.WigeonfallError as error:
         typer.echo(str(error), err=True)
+        lines.stop()
         raise typer.Exit(ExitCode.FAULT) from error
-    process.run(made)
+    try:
+        process.run(made)
+    finally:
+        lines.stop()
 
 
 @app.command('timeline')
--- a/wigeonfall/recorder.py
+++ b/wigeonfall/recorder.py
@@ -95,11 +95,6 @@
     )
 
 
-def log_to_stdout(level: str) -> None:
-    """Send log records of at least a level to standard output as JSON."""
-    _send_to(_make_writer(), level)
-
-
 def queue_to_stdout(level: str) -> log_queue.LogQueue:
     """Send log records to standard output without ever waiting for it.
 
