Merge repeated events

Cause: a target that refuses connections, or a store that is away, wrote the same line many times a second. Change: events without a request that repeat within a second for one subject are counted, and the count is told; metrics count each of them.

--- a/wigeonfall/forwarding/process.py
+++ b/wigeonfall/forwarding/process.py
@@ -1,6 +1,7 @@
 """The life of an instance that passes calls on: it starts, serves, stops."""
 
 import asyncio
+from collections.abc import Callable
 import pathlib
 import signal
 import sys
@@ -16,6 +17,7 @@
 from ..events import Event
 from ..ini import Faults
 from . import internal
+from ..merged_events import MergedEvents
 from ..metrics import counting
 from ..metrics import Metrics
 from . import settings as settings_module
@@ -53,11 +55,14 @@
         settings.instance.name, clock.HybridClock()
     )
     registry = prometheus_client.CollectorRegistry()
-    record = counting(recorder.record, Metrics(registry))
+    merged = MergedEvents(recorder.record)
+    record = counting(merged.record, Metrics(registry))
     instance = Instance(settings, outside, record)
+    life = _Life(path, settings, instance, registry, merged.flush)
     try:
-        asyncio.run(_Life(path, settings, instance, registry).run())
+        asyncio.run(life.run())
     finally:
+        merged.flush(float('inf'))
         lines.stop()
     return 0
 
@@ -76,12 +81,14 @@
         settings: ForwardingSettings,
         instance: Instance,
         registry: prometheus_client.CollectorRegistry,
+        flush_events: Callable[[float], None],
     ) -> None:
         self._path = path
         self._settings = settings
         self._instance = instance
         self._record = instance.record
         self._registry = registry
+        self._flush_events = flush_events
         self._stopping = asyncio.Event()
         self._reload = asyncio.Event()
         self._threads_stop = threading.Event()
@@ -220,6 +227,7 @@
                 self._instance.stood_still()
             offset_s = present_s
             self._instance.sweep(time.monotonic())
+            self._flush_events(time.monotonic())
 
     async def _drain(
         self, port: CallersPort, servers: list[asyncio.Server]
