Compress long messages on requests, and record what is not sent

Cause: read of the change: one instance with some 300 waiting requests made a datagram longer than 64 kB, which the system refuses; the error was passed over. Change: messages above 4 kB are compressed; errors other than a refusing peer are event 713. Figures: 1,500 waiting requests fit (test).

--- a/tests/forwarding/test_asks.py
+++ b/tests/forwarding/test_asks.py
@@ -58,7 +58,7 @@
 def test_what_is_answered_arrives_unchanged(grants, denials):
     message = asks.Answering('i1', 7, grants, denials)
     data = asks.encode(message)
-    assert data.startswith(asks.MARK)
+    assert data.startswith((asks.PLAIN, asks.COMPRESSED))
     assert asks.decode(data) == message
 
 
@@ -71,9 +71,35 @@
         asks.decode(data)
 
 
+def test_many_waiting_requests_fit_into_a_datagram():
+    """Load pattern: one instance has far more callers than places."""
+    waiting = tuple(
+        asks.Ask(
+            f'{n * 7919:016x}/{n}',
+            'wigeon-pool',
+            17,
+            False,
+            *(round(0.123 * n + k, 3) for k in range(5)),
+            6610.0 + n,
+            380.0,
+            (),
+            'customer-7',
+            6990.0 + n,
+            False,
+            4.3,
+        )
+        for n in range(1500)
+    )
+    message = asks.Asking('i1', 7, 3, '10.0.0.1:1', waiting, (), ())
+    data = asks.encode(message)
+    assert len(data) < 65_000
+    assert asks.decode(data) == message
+
+
+@pytest.mark.parametrize('mark', (asks.PLAIN, asks.COMPRESSED))
 @given(strategies.binary(max_size=200))
-def test_any_bytes_are_a_message_or_a_value_error(data):
+def test_any_bytes_are_a_message_or_a_value_error(mark, data):
     try:
-        asks.decode(b'[' + data)
+        asks.decode(mark + data)
     except ValueError:
         pass
--- a/wigeonfall/events.py
+++ b/wigeonfall/events.py
@@ -88,6 +88,7 @@
     SNAPSHOT_TAKEN = (708, logging.INFO, 'state taken from a peer')
     MESSAGE_UNREADABLE = (709, logging.WARNING, 'message of a peer unreadable')
     ARBITER_CHOSEN = (711, logging.INFO, 'arbiter chosen')
+    MESSAGE_NOT_SENT = (713, logging.WARNING, 'message to a peer not sent')
     CLIENT_GIVEN_UP = (712, logging.WARNING, 'places of a silent peer freed')
     REGISTRATION_FAILED = (710, logging.WARNING, 'instance not registered')
     TOPIC_UNREADABLE = (705, logging.WARNING, 'state of a topic unreadable')
--- a/wigeonfall/forwarding/asks.py
+++ b/wigeonfall/forwarding/asks.py
@@ -8,10 +8,15 @@
 from collections.abc import Iterable
 import json
 from typing import Any
+import zlib
 
 import attrs
 
-MARK = b'['  # first byte; the state of peers is compressed and begins else
+# First bytes; the state of peers begins with another one.
+PLAIN = b'['
+COMPRESSED = b'~'
+PLAIN_BYTES = 4000  # longer messages are compressed, to stay datagrams
+_COMPRESSION_LEVEL = 1  # messages are small and many
 
 
 def _texts(values: Iterable[str]) -> tuple[str, ...]:
@@ -177,7 +182,10 @@
     """Return the bytes of a message."""
     kind = 'asking' if isinstance(message, Asking) else 'answering'
     value = [kind, *attrs.astuple(message)]
-    return json.dumps(value, separators=(',', ':')).encode()
+    data = json.dumps(value, separators=(',', ':')).encode()
+    if len(data) > PLAIN_BYTES:
+        return COMPRESSED + zlib.compress(data, _COMPRESSION_LEVEL)
+    return data
 
 
 def decode(data: bytes) -> Asking | Answering:
@@ -187,12 +195,14 @@
         ValueError: the bytes are no message.
     """
     try:
+        if data.startswith(COMPRESSED):
+            data = zlib.decompress(data[len(COMPRESSED) :])
         kind, *values = json.loads(data)
         if kind == 'asking':
             return _asking(*values)
         if kind == 'answering':
             return _answering(*values)
-    except TypeError as error:
+    except (TypeError, zlib.error) as error:
         raise ValueError(f'no message on requests: {error!r}') from error
     raise ValueError(f'unknown kind of message: {kind!r}')
 
--- a/wigeonfall/forwarding/peers.py
+++ b/wigeonfall/forwarding/peers.py
@@ -316,7 +316,7 @@
     def datagram_received(self, data: bytes, addr: Any) -> None:
         """Take a datagram."""
         try:
-            if data[:1] == asks.MARK:
+            if data.startswith((asks.PLAIN, asks.COMPRESSED)):
                 self._take_other(asks.decode(data))
             else:
                 self._take(decode(data))
@@ -326,7 +326,10 @@
             )
 
     def error_received(self, exc: Exception) -> None:
-        """Note nothing: a peer that is down answers so, and is not heard."""
+        """Take note of a message that was not sent."""
+        # A peer that is down refuses messages; that it is not heard says so.
+        if not isinstance(exc, ConnectionRefusedError):
+            self._record(Event.MESSAGE_NOT_SENT, detail=str(exc))
 
     def changed(self) -> None:
         """Send soon."""
--- a/wigeonfall/merged_events.py
+++ b/wigeonfall/merged_events.py
@@ -26,6 +26,7 @@
         Event.WATCH_LOST,
         Event.WATCH_REGAINED,
         Event.MESSAGE_UNREADABLE,
+        Event.MESSAGE_NOT_SENT,
         Event.REGISTRATION_FAILED,
     }
 )
