Stop also when nobody reads the log

Cause: a new test with a real process whose standard output nobody reads: 400 requests were answered in time, but the process did not end after SIGTERM: at its exit the interpreter waits for the thread that writes. Change: once the queue cannot be written within a second, the process ends without the interpreter's own exit; for serve and on the users' platform.

--- a/tests/fakes/users_platform.py
+++ b/tests/fakes/users_platform.py
@@ -57,6 +57,7 @@
         self.seeds = seeds
         self.path = directory / f'{name}.ini'
         self.log = directory / f'{name}.log'
+        self.output = None  # file that gets its lines instead of the log
         self.write_settings()
 
     def write_settings(self, ratio=0.2):
@@ -71,7 +72,10 @@
         self.path.write_text(text, 'utf-8')
 
     async def __aenter__(self):
-        with self.log.open('ab') as output:
+        with contextlib.ExitStack() as stack:
+            output = self.output
+            if output is None:
+                output = stack.enter_context(self.log.open('ab'))
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 'platform/run.py',
--- a/tests/users_platform/test_process.py
+++ b/tests/users_platform/test_process.py
@@ -1,6 +1,7 @@
 """Tests of real processes against a stand-in of the platform."""
 
 import asyncio
+import os
 import signal
 
 import pytest
@@ -45,9 +46,9 @@
     return script
 
 
-def run(scenario, directory):
+def run(scenario, directory, script=None):
     async def whole():
-        target = ScriptedTarget('e1', slow_stream(5, 0.2))
+        target = ScriptedTarget('e1', script or slow_stream(5, 0.2))
         await target.start()
         with MetadataStore() as store:
             store.objects.put('config', 'main', MANIFEST)
@@ -147,3 +148,37 @@
             assert await instance.page('ready', path) == 404
 
     run(scenario, tmp_path)
+
+
+def test_a_reader_of_the_log_that_stops_delays_no_request(tmp_path):
+    """Some 800 bytes a request fill the pipe of 64 kB, and then the queue."""
+    reading, writing = os.pipe()
+
+    async def scenario(store, _target):
+        instance = Instance(tmp_path, store)
+        instance.output = writing
+        loop = asyncio.get_running_loop()
+        async with instance:
+            slowest_s = 0.0
+            for number in range(400):
+                began_s = loop.time()
+                status, *_ = await instance.ask(number)
+                assert status == 200
+                slowest_s = max(slowest_s, loop.time() - began_s)
+            assert slowest_s < 1.0
+            instance.process.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(8):
+                await instance.process.wait()
+
+    try:
+        run(scenario, tmp_path, slow_stream(1, 0.0))
+        size = 0
+        os.set_blocking(reading, False)
+        while part := os.read(reading, 65_536):
+            size += len(part)
+            if len(part) < 65_536:
+                break
+        assert size >= 60_000
+    finally:
+        os.close(reading)
+        os.close(writing)
--- a/wigeonfall/cli.py
+++ b/wigeonfall/cli.py
@@ -59,6 +59,7 @@
         process.run(made)
     finally:
         lines.stop()
+    lines.end_process(0)
 
 
 @app.command('timeline')
--- a/wigeonfall/forwarding/process.py
+++ b/wigeonfall/forwarding/process.py
@@ -64,7 +64,7 @@
     finally:
         merged.flush(float('inf'))
         lines.stop()
-    return 0
+    return lines.end_process(0)
 
 
 def _print_faults(faults: Faults) -> None:
--- a/wigeonfall/log_queue.py
+++ b/wigeonfall/log_queue.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 import logging
+import os
 import queue
 import threading
 
@@ -46,10 +47,30 @@
             lost, self._lost = self._lost, 0
             self._dropped(lost)
 
-    def stop(self) -> None:
-        """Write what is queued, for a bounded time."""
+    def stop(self) -> bool:
+        """Write what is queued, for a bounded time.
+
+        Returns:
+            Whether all was written.
+        """
         self._queue.put(None)
         self._thread.join(STOP_S)
+        return not self._thread.is_alive()
+
+    def end_process(self, status: int) -> int:
+        """Write what is queued, and end the process if nobody reads it.
+
+        The interpreter's own exit would wait for a reader without end.
+
+        Args:
+            status: exit status of the process.
+
+        Returns:
+            The status, for an exit in order.
+        """
+        if not self.stop():
+            os._exit(status)
+        return status
 
     def _write(self) -> None:
         while (record := self._queue.get()) is not None:
