--- a/tests/policy/test_waiting.py
+++ b/tests/policy/test_waiting.py
@@ -176,3 +176,54 @@
     """Twice the load for 20 s: in order of arrival nearly all are late."""
     assert replay(order_by_arrival=True) < 0.2
     assert replay(order_by_arrival=False) > 0.95
+
+
+def served_by_rank(seconds=30, slots=10):
+    """Replay an overload that lasts, and return the share served by rank.
+
+    Long requests are most urgent and ask for 0.6 of all places, the next rank
+    for 0.5, short requests of the last rank for 0.3. Nobody comes back.
+    """
+    rooms = make_rooms('a', slots=slots)
+    rooms.observed_first('a', 0, 0.02, 0.0)
+    rooms.observed_answer('a', Size(0, 100), 1.0, 0.0)
+    queue = Queue(rooms, lambda: 0.5)
+    kinds = ((0, 150, 0.6), (1, 120, 0.5), (2, 10, 0.3))
+    asked, served = [0, 0, 0], [0, 0, 0]
+    due = [0.0, 0.0, 0.0]
+    running = []
+    for step in range(seconds * 100):
+        now_s = step * 0.01
+        for rank, tokens, share in kinds:
+            while due[rank] <= now_s:
+                due[rank] += tokens * 0.01 / (share * slots)
+                asked[rank] += 1
+                queue.add(
+                    Wish(
+                        f'{rank}-{asked[rank]}',
+                        rank,
+                        False,
+                        now_s,
+                        now_s + 0.3,
+                        now_s + 3.0,
+                        now_s + 12.0,
+                        now_s + 1.8,
+                        Size(0, tokens),
+                    )
+                )
+        for ended_s in [end_s for end_s in running if end_s <= now_s]:
+            running.remove(ended_s)
+            rooms.ended('a')
+        queue.expired(now_s)
+        for wish, _ in queue.place(('a',), {}, now_s):
+            served[wish.rank] += 1
+            rooms.began('a', wish.size)
+            running.append(now_s + wish.size.answer_tokens * 0.01)
+    return [s / a for s, a in zip(served, asked, strict=True)]
+
+
+def test_no_rank_is_served_less_often_than_a_less_urgent_one():
+    """Load pattern: an overload that lasts for a whole day."""
+    shares = served_by_rank()
+    assert shares[0] >= shares[1] - 0.05
+    assert shares[1] >= shares[2] - 0.05
