--- a/tests/fakes/rollout_instance.py
+++ b/tests/fakes/rollout_instance.py
@@ -5,7 +5,9 @@
 """
 
 import json
+import os
 import signal
+import sys
 import threading
 import time
 from typing import Any
@@ -26,9 +28,14 @@
 OUTCOMES = 10
 
 
+def write_line(value: dict[str, Any]) -> None:
+    """Write a value as one line; several threads may do so at once."""
+    # One call of the system: print writes a line and its end apart.
+    os.write(sys.stdout.fileno(), json.dumps(value).encode() + b'\n')
+
+
 def _record(event: Any, **fields: Any) -> None:
-    line = {'event': event.name, 'at_s': time.monotonic(), **fields}
-    print(json.dumps(line), flush=True)
+    write_line({'event': event.name, 'at_s': time.monotonic(), **fields})
 
 
 def main(name: str, service: str, platform: str, list_s: float = 0.0) -> None:
@@ -48,7 +55,7 @@
 
     def targets_of(wanted: str) -> tuple[Target, ...]:
         live = port.live_list()
-        print(json.dumps({'event': 'LISTED'}), flush=True)
+        write_line({'event': 'LISTED'})
         time.sleep(list_s)
         if not isinstance(live, Ok):
             return ()
@@ -71,7 +78,7 @@
     stop = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_args: stop.set())
     rollout_control.run(known, control, stop)
-    print(json.dumps({'address': 'none'}), flush=True)
+    write_line({'address': 'none'})
     while not stop.wait(OUTCOMES_EVERY_S):
         for version in ('v1', 'v2') * OUTCOMES:
             known.observe(
