Give processes of tests ports that no connection takes

Its port had been free a moment before and was given to a connection meanwhile. Change: ports below the range of connections, other ones for each worker.

--- a/tests/fakes/users_platform.py
+++ b/tests/fakes/users_platform.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import os
 import pathlib
@@ -12,6 +13,10 @@
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
 START_S = 30
+FIRST_PORT = 10_000
+PORT_PARTS = 22
+PART_PORTS = 1000
+_NUMBERS = itertools.count()
 TEMPLATE = """[instance]
 name = {name}
 data_center = z
@@ -38,11 +43,17 @@
 
 
 def free_ports(count):
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in sockets:
-            sock.bind(('127.0.0.1', 0))
-        return [sock.getsockname()[1] for sock in sockets]
+    """Return ports that no connection is given while a process starts."""
+    # Below the range from which connections get theirs; workers of a test
+    # run draw from different parts.
+    first = FIRST_PORT + os.getpid() % PORT_PARTS * PART_PORTS
+    ports = []
+    while len(ports) < count:
+        port = first + next(_NUMBERS) % PART_PORTS
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(('127.0.0.1', port))
+            ports.append(port)
+    return ports
 
 
 class Instance:
