Name the prompt parts of a failed attempt in the log

Cause: unknown so far; no event named what the lost requests held. Change: the parts of a prompt are read from the request, and event 204 names them and the time since a broken answer began. No change of logic.

--- a/tests/fakes/forwarding.py
+++ b/tests/fakes/forwarding.py
@@ -40,6 +40,7 @@
     customer=b'Customer',
     expected_target=b'Expect',
     token_counts=b'Tokens',
+    prompt_parts=b'Parts',
     not_run=b'Not-Run',
     receipt=b'Receipt',
     reserved=frozenset({b'reserved'}),
--- a/wigeonfall/forwarding/attempt.py
+++ b/wigeonfall/forwarding/attempt.py
@@ -99,7 +99,11 @@
     try:
         result = await _receive(context, request, sent, relay)
     except ExchangeError as error:
-        result = AttemptResult(AttemptOutcome.BROKEN, detail=str(error))
+        result = AttemptResult(
+            AttemptOutcome.BROKEN,
+            detail=str(error),
+            lasted_s=sent.lasted_s(time.monotonic()),
+        )
         context.observations.record_broken_connection(
             target.name, time.monotonic()
         )
--- a/wigeonfall/forwarding/header_names.py
+++ b/wigeonfall/forwarding/header_names.py
@@ -14,6 +14,7 @@
         customer: name of the customer that a key belongs to.
         expected_target: identifier of the only target that may run it.
         token_counts: tokens of the prompt and maximum tokens of the answer.
+        prompt_parts: parts of the prompt in order, each as "id:tokens".
         not_run: in an answer, set if the target did not run the request.
         receipt: in an answer, proof that it comes from the target.
         reserved: headers that only instances may set, in lower case.
@@ -27,6 +28,7 @@
     customer: bytes
     expected_target: bytes
     token_counts: bytes
+    prompt_parts: bytes
     not_run: bytes
     receipt: bytes
     reserved: frozenset[bytes]
--- a/wigeonfall/forwarding/outcomes.py
+++ b/wigeonfall/forwarding/outcomes.py
@@ -16,6 +16,9 @@
 from .scheduler import Slot
 
 
+MAX_LOGGED_PARTS = 16  # of a prompt; some have hundreds
+
+
 @attrs.define
 class Progress:
     """The progress of a request over all its attempts.
@@ -118,6 +121,8 @@
             kind=result.outcome.value,
             detail=result.detail,
             ran=progress.ran,
+            parts=','.join(request.shared_parts[:MAX_LOGGED_PARTS]),
+            lasted_ms=round(result.lasted_s * 1000),
         )
 
     def record_resend_refused(
--- a/wigeonfall/forwarding/relaying.py
+++ b/wigeonfall/forwarding/relaying.py
@@ -61,6 +61,7 @@
         events: number of events of a stream.
         first_s: time to the first byte or event of the body.
         longest_pause_s: longest pause between events.
+        lasted_s: time since the answer began, of one that broke off.
     """
 
     outcome: AttemptOutcome
@@ -70,6 +71,7 @@
     events: int = 0
     first_s: float = 0.0
     longest_pause_s: float = 0.0
+    lasted_s: float = 0.0
 
 
 @attrs.define
@@ -87,7 +89,7 @@
     started: bool = False
 
 
-@attrs.frozen
+@attrs.define
 class Sent:
     """A request that was sent.
 
@@ -96,12 +98,18 @@
         slot: its slot at the target.
         started_s: when it was sent, on the monotonic clock.
         repeatable: whether another target may run it after this one.
+        began_s: when the body of its answer began, None before that.
     """
 
     exchange: Exchange
     slot: Slot
     started_s: float
     repeatable: bool
+    began_s: float | None = None
+
+    def lasted_s(self, now_s: float) -> float:
+        """Return the time since the answer began, 0 if it has not."""
+        return 0.0 if self.began_s is None else now_s - self.began_s
 
 
 class RelayContext(Protocol):
@@ -181,6 +189,7 @@
 
 def _record_first(context: RelayContext, sent: Sent, now_s: float) -> float:
     """Record the first byte or event; return the time that it took."""
+    sent.began_s = now_s
     first_s = now_s - sent.started_s
     tokens = sent.slot.prefill_tokens
     name = sent.slot.target.name
