--- a/wigeonfall/forwarding/call_handler.py
+++ b/wigeonfall/forwarding/call_handler.py
@@ -10,7 +10,6 @@
 
 from . import attempt as attempt_module
 from ..policy import patience
-from ..policy import resend_budget
 from ..policy import routing
 from ..policy.token_quota import Charge
 from ..policy.token_quota import OverLimit
@@ -352,30 +351,3 @@
         is_retry,
         patience.RETRY_SHARE * request.caller_timeout_s,
     )
-
-
-def make_resend_budgets(
-    limits: Callable[[], resend_budget.ResendLimits],
-    fleet_size: Callable[[], int],
-) -> tuple[Callable[[str, float], None], Callable[[str, float], bool]]:
-    """Make a resend budget for each service.
-
-    Args:
-        limits: returns the limits in force.
-        fleet_size: returns the number of instances, which share the budget.
-
-    Returns:
-        A function that counts a request of a service, and one that returns
-        whether the budget of a service allows a resend, and spends it.
-    """
-    budgets: dict[str, resend_budget.ResendBudget] = {}
-
-    def count_request(service: str, now_s: float) -> None:
-        budget = budgets.setdefault(service, resend_budget.ResendBudget())
-        budget.requested(now_s)
-
-    def allow_resend(service: str, now_s: float) -> bool:
-        budget = budgets.setdefault(service, resend_budget.ResendBudget())
-        return budget.take(limits(), fleet_size(), now_s)
-
-    return count_request, allow_resend
--- /dev/null
+++ b/wigeonfall/forwarding/customer_quotas.py
@@ -0,0 +1,56 @@
+"""Charges the token limits of customers in the table that is in force."""
+
+from collections.abc import Callable
+import time
+
+import attrs
+
+from ..policy import token_quota
+from .cluster_state import ClusterState
+from .settings import QuotaSettings
+from .topology import Topology
+
+
+@attrs.frozen
+class CustomerQuotas:
+    """Charges and refunds tokens of customers.
+
+    Attributes:
+        quotas: token limits of all customers.
+        cluster_state: what this instance knows of the store.
+        topology: its role among its peers.
+    """
+
+    quotas: token_quota.TokenQuotas
+    cluster_state: ClusterState
+    topology: Topology
+
+    def take(
+        self, charge: token_quota.Charge, now_s: float
+    ) -> token_quota.OverLimit | None:
+        """Charge a customer; return its refusal if it is over its limit."""
+        index = self.cluster_state.routing_index
+        holder = index.by_name.get(charge.customer) if index else None
+        if holder is None:
+            return None
+        return self.quotas.take(
+            holder, charge, self.topology.quota_visibility(now_s), now_s
+        )
+
+    def refund(self, customer: str, tokens: float) -> None:
+        """Refund the tokens of a request that did not run."""
+        self.quotas.refund(customer, tokens, time.monotonic())
+
+
+def make_terms(
+    settings: Callable[[], QuotaSettings],
+) -> Callable[[], token_quota.QuotaTerms]:
+    """Return a function that returns how limits are measured at present."""
+
+    def terms() -> token_quota.QuotaTerms:
+        quota = settings()
+        return token_quota.QuotaTerms(
+            quota.window_s, quota.overage, quota.slack_tokens
+        )
+
+    return terms
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -10,6 +10,7 @@
 
 
 from . import call_handler
+from . import customer_quotas
 from ..events import Event
 from . import internal_pages
 from ..model.routing import CallerLimits
@@ -20,6 +21,7 @@
 from ..policy.version_trial import Trials
 from ..recorder import Record
 from . import registration
+from . import resend_budgets
 from . import slot_client
 from . import snapshot_sync
 from . import store_watcher
@@ -70,13 +72,17 @@
         )
         self._started_s = time.monotonic()
         self._quotas = token_quota.TokenQuotas(
-            self._started_s, self._quota_terms
+            self._started_s,
+            customer_quotas.make_terms(lambda: self._settings.quota),
         )
         self._peers = Peers(settings.listen.peers_address)
         self._peers.add_addresses(_seed_addresses(settings))
         self._topology = Topology(
             lambda: self._settings, self._peers, self._started_s
         )
+        self._customer_quotas = customer_quotas.CustomerQuotas(
+            self._quotas, self._cluster_state, self._topology
+        )
         self._connections = ConnectionPool(
             adapter.header_names.request_id.lower()
         )
@@ -135,8 +141,8 @@
             name=settings.instance.name,
             balancer=self._balancer,
             scheduler=self._scheduler,
-            take_tokens=self._take_tokens,
-            refund_tokens=self._refund_tokens,
+            take_tokens=self._customer_quotas.take,
+            refund_tokens=self._customer_quotas.refund,
             send=self._link.send_message,
             record=record,
         )
@@ -263,7 +269,7 @@
         self._live_names = live
 
     def _handler_context(self) -> call_handler.HandlerContext:
-        count_request, allow_resend = call_handler.make_resend_budgets(
+        count_request, allow_resend = resend_budgets.make_resend_budgets(
             lambda: resend_budget.ResendLimits(
                 self._settings.retry.ratio,
                 self._settings.retry.slack_requests,
@@ -305,32 +311,12 @@
             },
             hubs=self._topology.hubs,
             fleet_size=self._peers.fleet_size,
-            take_tokens=self._take_tokens,
-            refund_tokens=self._refund_tokens,
+            take_tokens=self._customer_quotas.take,
+            refund_tokens=self._customer_quotas.refund,
             send=self._link.send_message,
             record=self.record,
         )
 
-    def _quota_terms(self) -> token_quota.QuotaTerms:
-        quota = self._settings.quota
-        return token_quota.QuotaTerms(
-            quota.window_s, quota.overage, quota.slack_tokens
-        )
-
-    def _take_tokens(
-        self, charge: token_quota.Charge, now_s: float
-    ) -> token_quota.OverLimit | None:
-        index = self._cluster_state.routing_index
-        holder = index.by_name.get(charge.customer) if index else None
-        if holder is None:
-            return None
-        return self._quotas.take(
-            holder, charge, self._topology.quota_visibility(now_s), now_s
-        )
-
-    def _refund_tokens(self, customer: str, tokens: float) -> None:
-        self._quotas.refund(customer, tokens, time.monotonic())
-
     def _on_misdirected(self, target: Target) -> None:
         """Record that a target's address now belongs to another target."""
         self._balancer.record_broken_connection(target.name, time.monotonic())
--- /dev/null
+++ b/wigeonfall/forwarding/resend_budgets.py
@@ -0,0 +1,32 @@
+"""Resend budgets of the services that an instance sends requests to."""
+
+from collections.abc import Callable
+
+from ..policy import resend_budget
+
+
+def make_resend_budgets(
+    limits: Callable[[], resend_budget.ResendLimits],
+    fleet_size: Callable[[], int],
+) -> tuple[Callable[[str, float], None], Callable[[str, float], bool]]:
+    """Make a resend budget for each service.
+
+    Args:
+        limits: returns the limits in force.
+        fleet_size: returns the number of instances, which share the budget.
+
+    Returns:
+        A function that counts a request of a service, and one that returns
+        whether the budget of a service allows a resend, and spends it.
+    """
+    budgets: dict[str, resend_budget.ResendBudget] = {}
+
+    def count_request(service: str, now_s: float) -> None:
+        budget = budgets.setdefault(service, resend_budget.ResendBudget())
+        budget.requested(now_s)
+
+    def allow_resend(service: str, now_s: float) -> bool:
+        budget = budgets.setdefault(service, resend_budget.ResendBudget())
+        return budget.take(limits(), fleet_size(), now_s)
+
+    return count_request, allow_resend
