Keep prompt parts that crash targets from further targets

Cause: a crash was learned of the target alone, so requests with the same part went on to the next. Evidence: event 204 names one part at all 13 crashes, never answered. Change: parts of requests that were lost before their answers lasted are suspected, cleared by any answer, and quarantined after three lost targets; instances share losses, answers and quarantines in datagrams of their own, which those of an earlier version report as unreadable (709) and ignore.

--- /dev/null
+++ b/tests/forwarding/test_part_watch.py
@@ -0,0 +1,149 @@
+"""Tests of keeping prompt parts that crash targets from targets."""
+
+import asyncio
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from tests.fakes.forwarding import Harness
+from wigeonfall.forwarding import part_watch
+from wigeonfall.forwarding import peer_state
+from wigeonfall.policy import quarantine
+from wigeonfall.policy.quarantine import PartNews
+from wigeonfall.policy.quarantine import QUARANTINE_S
+from wigeonfall.policy.quarantine import Suspect
+
+SETTLE_S = 0.05
+NEWS = PartNews(
+    lost={'s/bad': Suspect({'t1': 0.5, 't2': 0.25}, frozenset({'s/first'}))},
+    answered={'s/sound': 1.5},
+    held={'s/bad': (2, 10.25)},
+)
+
+
+@pytest.fixture(autouse=True)
+def short_settling(monkeypatch):
+    monkeypatch.setattr(quarantine, 'SETTLE_S', SETTLE_S)
+
+
+def run(scenario):
+    asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
+async def crash_on_bad(served):
+    if 'bad' in served.headers['parts']:
+        served.reset()
+    else:
+        served.answer()
+
+
+async def unframed_or_crash(served):
+    if served.headers['request-id'].startswith('good'):
+        served.write(
+            b'HTTP/1.1 200 OK\r\nReceipt: r\r\nRequest-Id: %s\r\n\r\n'
+            b'id: 1\ndata: 1\n\n' % served.headers['request-id'].encode()
+        )
+        served.writer.close()
+    else:
+        served.reset()
+
+
+def bad_count(site):
+    return sum(
+        'bad' in served.headers['parts']
+        for target in site.targets
+        for served in target.served
+    )
+
+
+async def ask(site, number, parts, path='/once/x'):
+    return await site.ask(
+        path, f'id-{number}', 'POST', Parts=f'{parts},own{number}:5'
+    )
+
+
+async def crash_three(site, parts='first:9,bad:9'):
+    for number in range(3):
+        status, _, _ = await ask(site, number, parts)
+        assert status == 502
+
+
+def test_requests_with_a_crashing_part_stop_reaching_targets():
+    async def scenario():
+        async with Harness(*[crash_on_bad] * 5) as site:
+            assert (await ask(site, 9, 'first:9'))[0] == 200
+            await crash_three(site)
+            await asyncio.sleep(SETTLE_S + 0.4)
+            for number in range(10, 13):
+                status, headers, _ = await ask(site, number, 'new:9,bad:9')
+                assert status == 503
+                assert 0 < float(headers['retry-after']) <= QUARANTINE_S
+                assert (await ask(site, number, 'first:9'))[0] == 200
+            assert bad_count(site) == 3
+            assert 'PART_QUARANTINED' in [name for name, _ in site.events]
+
+    run(scenario)
+
+
+def test_a_request_that_waited_is_refused_when_its_part_is_quarantined():
+    async def scenario():
+        async with Harness(*[crash_on_bad] * 3) as site:
+            await crash_three(site)
+            # All targets are backed off, so that it waits.
+            assert (await ask(site, 4, 'first:9,bad:9'))[0] == 503
+            assert bad_count(site) == 3
+
+    run(scenario)
+
+
+def test_a_last_part_is_its_requests_own_and_not_blamed():
+    async def scenario():
+        async with Harness(*[crash_on_bad] * 4) as site:
+            for number in range(6):
+                status, _, _ = await site.ask(
+                    '/once/x', f'id-{number}', 'POST', Parts='first:9,bad:9'
+                )
+                await ask(site, 9, 'first:9')
+                await asyncio.sleep(SETTLE_S)
+                assert status == 502
+
+    run(scenario)
+
+
+def test_an_answer_that_ends_with_its_connection_is_no_proof():
+    async def scenario():
+        async with Harness(*[unframed_or_crash] * 4) as site:
+            status, _, _ = await site.ask(
+                '/stream/x', 'good', 'POST', Parts='bad:9,own:5'
+            )
+            assert status == 200
+            await crash_three(site, 'bad:9')
+            await asyncio.sleep(SETTLE_S + 0.4)
+            assert (await ask(site, 4, 'bad:9'))[0] == 503
+
+    run(scenario)
+
+
+def test_news_is_decoded_unchanged():
+    assert part_watch.decode(part_watch.encode(NEWS)) == NEWS
+
+
+@given(st.binary(max_size=60))
+def test_invalid_news_raises_value_error(data):
+    with pytest.raises(ValueError):
+        part_watch.decode(part_watch.PREFIX + data)
+
+
+@pytest.mark.parametrize('age', ['NaN', '-1', 'Infinity', 'null', '"x"'])
+def test_news_with_an_invalid_age_raises_value_error(age):
+    text = part_watch.encode(NEWS)
+    fields = part_watch.zlib.decompress(text[1:]).replace(b'1.5', age.encode())
+    with pytest.raises(ValueError):
+        part_watch.decode(part_watch.PREFIX + part_watch.zlib.compress(fields))
+
+
+def test_instances_of_an_earlier_version_reject_news_as_unreadable():
+    """They read it as a state, record that and go on."""
+    with pytest.raises(ValueError):
+        peer_state.decode(part_watch.encode(NEWS))
--- a/wigeonfall/events.py
+++ b/wigeonfall/events.py
@@ -35,6 +35,8 @@
     CALLER_LEFT = (210, logging.INFO, 'caller disconnected')
     REQUEST_ASSIGNED = (211, logging.INFO, 'request assigned to target')
     RESEND_REFUSED = (212, logging.INFO, 'resend budget exhausted')
+    PART_QUARANTINED = (213, logging.WARNING, 'prompt part quarantined')
+    PART_RELEASED = (214, logging.INFO, 'prompt part released')
 
     ORDER_CLAIMED = (301, logging.INFO, 'order claimed')
     ORDER_DONE = (302, logging.INFO, 'order done')
--- a/wigeonfall/forwarding/attempt.py
+++ b/wigeonfall/forwarding/attempt.py
@@ -14,6 +14,7 @@
 from .exchange import ExchangeError
 from .header_names import HeaderNames
 from .observations import Observations
+from .part_watch import PartWatch
 from .relaying import AttemptOutcome
 from .relaying import AttemptResult
 from .relaying import first_timeout_s
@@ -56,6 +57,7 @@
             of a target.
         on_outcome: called with each outcome, as evidence on the version of
             the target.
+        parts: learns which prompt parts crash targets.
     """
 
     connections: exchange_module.ConnectionPool
@@ -64,6 +66,7 @@
     on_prompt_read: Callable[[Slot], None]
     on_misdirected: Callable[[Target], None]
     on_outcome: Callable[[RoutedRequest, Target, bool, float], None]
+    parts: PartWatch
 
 
 async def run(
@@ -95,6 +98,7 @@
         context.connections.close_idle_to(target.address)
         return AttemptResult(AttemptOutcome.NOT_CONNECTED, detail=str(error))
     execution.ran = True
+    context.parts.record_sent(request)
     sent = Sent(exchange, slot, started_s, execution.repeatable)
     try:
         result = await _receive(context, request, sent, relay)
@@ -107,11 +111,18 @@
         context.observations.record_broken_connection(
             target.name, time.monotonic()
         )
+        context.parts.record_lost(request, target, result.lasted_s)
         context.connections.close_idle_to(target.address)
     finally:
         exchange.release()
     if result.outcome is AttemptOutcome.NOT_RUN:
         execution.ran = ran_before
+    if (
+        result.outcome is AttemptOutcome.ANSWERED
+        and result.status < http.HTTPStatus.MULTIPLE_CHOICES
+        and exchange.framed
+    ):
+        context.parts.record_answered(request)
     _record_result(
         context, request, slot, result, time.monotonic() - started_s
     )
--- a/wigeonfall/forwarding/call_handler.py
+++ b/wigeonfall/forwarding/call_handler.py
@@ -10,6 +10,7 @@
 
 from . import attempt as attempt_module
 from ..policy import patience
+from ..policy.quarantine import Hold
 from ..policy import routing
 from ..policy.token_quota import Charge
 from ..policy.token_quota import OverLimit
@@ -125,7 +126,12 @@
         self, request: RoutedRequest, reply: Reply, progress: Progress
     ) -> None:
         relay = Relay(reply)
+        parts = self._context.attempts.parts
         while True:
+            hold = parts.hold(request)
+            if hold is not None:
+                self._held(request, reply, progress, relay, hold)
+                return
             slot = await self._acquire(request, progress)
             if isinstance(slot, OverLimit):
                 self._over_limit(request, reply, progress, slot)
@@ -136,6 +142,12 @@
             if not progress.admitted:
                 progress.admitted = True
                 self._context.count_request(request.service, time.monotonic())
+            # The part may have been quarantined while the request waited.
+            hold = parts.hold(request)
+            if hold is not None:
+                self._context.slots.release(request.service, slot)
+                self._held(request, reply, progress, relay, hold)
+                return
             progress.target = slot.target.name
             progress.attempts += 1
             self._outcomes.record_slot(request, slot, self._table_version())
@@ -285,6 +297,26 @@
             refused.retry_after_s,
         )
 
+    def _held(
+        self,
+        request: RoutedRequest,
+        reply: Reply,
+        progress: Progress,
+        relay: Relay,
+        hold: Hold,
+    ) -> None:
+        if progress.ran or relay.started:
+            self._fail(request, reply, progress, relay, None)
+            return
+        self._outcomes.refuse(
+            request,
+            reply,
+            progress,
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
+            f'prompt part {hold.part} crashed targets',
+            hold.left_s,
+        )
+
     def _fail(
         self,
         request: RoutedRequest,
--- a/wigeonfall/forwarding/exchange.py
+++ b/wigeonfall/forwarding/exchange.py
@@ -53,6 +53,11 @@
         self._ambiguous = connection.used
         self._response: Response | None = None
 
+    @property
+    def framed(self) -> bool:
+        """Whether the answer has a proven end, besides the connection's."""
+        return self._response is not None and not self._response.ends_at_eof
+
     async def head(self) -> ResponseHead:
         """Wait for the head of the answer.
 
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -16,6 +16,7 @@
 from ..model.routing import CallerLimits
 from ..model.target import Target
 from ..policy.load_balancer import LoadBalancer
+from ..policy.quarantine import Quarantines
 from ..policy import resend_budget
 from ..policy import token_quota
 from ..policy.version_trial import Trials
@@ -35,6 +36,7 @@
 from .exchange import ConnectionPool
 from .internal_pages import Page
 from .observations import Observations
+from .part_watch import PartWatch
 from .peer_state import PeerState
 from .peers import PeerLink
 from .peers import Peers
@@ -123,6 +125,11 @@
             arbiter=lambda: self._slot_client.arbiter,
             watches_store=lambda: self._watches,
         )
+        self._part_watch = PartWatch(
+            Quarantines(settings.instance.name),
+            self._peers.fleet_size,
+            record,
+        )
         self._link = PeerLink(
             make_state=lambda: self._states.make_state(time.monotonic()),
             addresses=lambda: self._topology.state_recipients(
@@ -133,6 +140,7 @@
             send_on_change=lambda: (
                 not self._topology.uses_hubs(time.monotonic())
             ),
+            part_watch=self._part_watch,
             record=record,
         )
         self._observations = Observations(self._balancer, record)
@@ -288,6 +296,7 @@
                 on_prompt_read=self._slot_client.mark_prompt_read,
                 on_misdirected=self._on_misdirected,
                 on_outcome=self._rollouts.add_evidence,
+                parts=self._part_watch,
             ),
             slots=self._slot_client,
             allows=self._rollouts.allows,
--- a/wigeonfall/forwarding/relaying.py
+++ b/wigeonfall/forwarding/relaying.py
@@ -10,10 +10,12 @@
 import attrs
 
 from ..policy.event_stream import EventSplitter
+from ..policy.quarantine import PROOF_S
 from .caller_server import Headers
 from .caller_server import Reply
 from .exchange import Exchange
 from .observations import Observations
+from .part_watch import PartWatch
 from .routed_request import caller_headers
 from .routed_request import RoutedRequest
 from .scheduler import Slot
@@ -123,6 +125,10 @@
     def on_prompt_read(self) -> Callable[[Slot], None]:
         """Called when a target has processed a prompt."""
 
+    @property
+    def parts(self) -> PartWatch:
+        """Learns which prompt parts crash targets."""
+
 
 def raise_after_deadline(request: RoutedRequest) -> None:
     """Raise TimeoutError if the deadline of the whole request has passed."""
@@ -239,6 +245,7 @@
     events_before = splitter.event_count
     first_s = 0.0
     longest_pause_s = 0.0
+    proven = False
     last_s = sent.started_s
     while True:
         try:
@@ -273,6 +280,9 @@
         else:
             first_s = _record_first(context, sent, now_s)
         last_s = now_s
+        if not proven and sent.lasted_s(now_s) >= PROOF_S:
+            proven = True
+            context.parts.record_answered(request)
         if not relay.started:
             relay.started = True
             relay.reply.start(head.status, caller_headers(head.headers), None)
--- a/wigeonfall/metrics.py
+++ b/wigeonfall/metrics.py
@@ -39,6 +39,11 @@
             ['kind'],
             registry=registry,
         )
+        self.quarantined_parts = prometheus_client.Gauge(
+            'wigeonfall_quarantined_parts',
+            'Prompt parts that crashed targets and are not released.',
+            registry=registry,
+        )
         self.answer_seconds = prometheus_client.Histogram(
             'wigeonfall_answer_seconds',
             'Time from the call to the end of its answer.',
@@ -99,6 +104,8 @@
             _count_turned_away(metrics, fields)
         elif event is Event.ATTEMPT_FAILED:
             metrics.attempt_failures.labels(fields['kind']).inc()
+        elif event in (Event.PART_QUARANTINED, Event.PART_RELEASED):
+            metrics.quarantined_parts.set(fields['held'])
 
     return record_and_count
 
--- a/wigeonfall/policy/quarantine.py
+++ b/wigeonfall/policy/quarantine.py
@@ -5,12 +5,15 @@
 their customer and their other parts with sound requests. A part is suspected
 when a request with it is lost before its answer proved sound, and cleared as
 soon as one is answered. It is quarantined when requests with it were lost at
-several targets, and no instance knows of an answer. A quarantine ends after a
-while; one request at a time then shows whether the part still crashes
-targets, and a further loss begins a longer quarantine.
+several targets, and no instance knows of an answer. While all of these also
+held other parts of which no answer is known, only requests that hold all of
+them are refused, so that sound requests can still clear the others.
+A quarantine ends after a while; one request at a time then shows whether the
+part still crashes targets, and a further loss begins a longer quarantine.
 """
 
 from collections.abc import Collection
+from collections.abc import Iterable
 from collections.abc import Mapping
 import itertools
 
@@ -31,22 +34,52 @@
 TRIAL_TIMEOUT_S = 10.0  # of a request that shows whether a part is sound
 TRIAL_PERIOD_S = 10.0  # in which other instances may try a part
 MAX_SUSPECTS = 2048
+MAX_TARGETS = 8  # lost with one part; more change nothing
+MAX_COMPANIONS = 4
 MAX_ANSWERED = 8192
 MAX_NEWS_PARTS = 100  # keeps a datagram far below its limit
 _HASH_RANGE = 2**64
 
 
+@attrs.frozen
+class Suspect:
+    """A part of requests that were lost with their targets.
+
+    Attributes:
+        lost_s: when each target was lost. In news, the age of that.
+        companions: other parts that all of these requests held.
+    """
+
+    lost_s: Mapping[str, float]
+    companions: frozenset[str] = frozenset()
+
+    def add(
+        self, target: str, at_s: float, others: Iterable[str]
+    ) -> 'Suspect':
+        """Return the suspect with a further loss."""
+        lost_s = dict(self.lost_s)
+        lost_s[target] = min(at_s, lost_s.get(target, at_s))
+        if len(lost_s) > MAX_TARGETS:
+            del lost_s[min(lost_s, key=lost_s.__getitem__)]
+        return Suspect(lost_s, self.companions.intersection(others))
+
+    @property
+    def newest_s(self) -> float:
+        """When the last target was lost."""
+        return max(self.lost_s.values())
+
+
 @attrs.frozen
 class PartNews:
     """What an instance tells its peers of parts; ages are in seconds.
 
     Attributes:
-        lost: age of the loss of each target, by part.
+        lost: the suspected parts, with ages.
         answered: age of the last answer, by part.
         held: number and age of the quarantine, by part.
     """
 
-    lost: Mapping[str, Mapping[str, float]] = attrs.field(factory=dict)
+    lost: Mapping[str, Suspect] = attrs.field(factory=dict)
     answered: Mapping[str, float] = attrs.field(factory=dict)
     held: Mapping[str, tuple[int, float]] = attrs.field(factory=dict)
 
@@ -73,12 +106,14 @@
         number: how often it was quarantined, 0 if it is released.
         for_s: length of the quarantine.
         targets: targets that were lost with requests that held the part.
+        companions: other parts that all of these requests held.
     """
 
     part: str
     number: int
     for_s: float
     targets: int
+    companions: frozenset[str] = frozenset()
 
 
 @attrs.define
@@ -107,7 +142,7 @@
 
     def __init__(self, name: str) -> None:
         self._name = name
-        self._lost: dict[str, dict[str, float]] = {}
+        self._lost: dict[str, Suspect] = {}
         self._answered: dict[str, float] = {}
         self._quarantines: dict[str, _Quarantine] = {}
         self._told_until_s: dict[str, float] = {}
@@ -124,7 +159,8 @@
             now_s: present time.
         """
         for part in parts:
-            self._add_loss(part, target, now_s)
+            others = frozenset(parts) - {part}
+            self._add_loss(part, target, now_s, others)
         self._update(parts, now_s)
 
     def record_answered(self, parts: Collection[str], now_s: float) -> None:
@@ -149,7 +185,7 @@
             return None
         for part in parts:
             quarantine = self._quarantines.get(part)
-            if quarantine is None:
+            if quarantine is None or not self._has_companions(part, parts):
                 continue
             if now_s < quarantine.end_s:
                 return Hold(part, quarantine.end_s - now_s)
@@ -164,29 +200,14 @@
             if part in self._quarantines:
                 self._quarantines[part].tried_s = now_s
 
-    def held_count(self, now_s: float) -> int:
-        """Return the number of parts in quarantine."""
-        return sum(q.end_s > now_s for q in self._quarantines.values())
+    def held_count(self) -> int:
+        """Return the number of parts that are not released."""
+        return len(self._quarantines)
 
     def news(self, now_s: float) -> PartNews | None:
         """Return what peers should know, or None if there is nothing."""
         self._update(tuple(self._lost), now_s)
         self._drop_old(now_s)
-        lost = {
-            part: {t: now_s - at_s for t, at_s in losses.items()}
-            for part, losses in self._lost.items()
-            if now_s - max(losses.values()) < LOSS_NEWS_S
-        }
-        if len(lost) > MAX_NEWS_PARTS:
-            first = sorted(
-                lost, key=lambda p: (-len(lost[p]), min(lost[p].values()))
-            )
-            lost = {part: lost[part] for part in first[:MAX_NEWS_PARTS]}
-        answered = {
-            part: now_s - self._answered[part]
-            for part in itertools.islice(self._told_until_s, MAX_NEWS_PARTS)
-            if part in self._answered
-        }
         held = {
             part: (quarantine.number, now_s - quarantine.from_s)
             for part, quarantine in self._quarantines.items()
@@ -195,6 +216,26 @@
         if len(held) > MAX_NEWS_PARTS:
             newest = sorted(held, key=lambda p: held[p][1])
             held = {part: held[part] for part in newest[:MAX_NEWS_PARTS]}
+        suspects = [
+            (part, suspect)
+            for part, suspect in self._lost.items()
+            if part in held or now_s - suspect.newest_s < LOSS_NEWS_S
+        ]
+        if len(suspects) > MAX_NEWS_PARTS:
+            suspects.sort(key=lambda s: (-len(s[1].lost_s), -s[1].newest_s))
+            del suspects[MAX_NEWS_PARTS:]
+        lost = {
+            part: Suspect(
+                {t: now_s - at_s for t, at_s in suspect.lost_s.items()},
+                suspect.companions,
+            )
+            for part, suspect in suspects
+        }
+        answered = {
+            part: now_s - self._answered[part]
+            for part in itertools.islice(self._told_until_s, MAX_NEWS_PARTS)
+            if part in self._answered
+        }
         if not (lost or answered or held):
             return None
         return PartNews(lost, answered, held)
@@ -206,13 +247,14 @@
                 if part in self._lost or part in self._quarantines:
                     self._told_until_s[part] = now_s + ANSWER_NEWS_S
                 self._add_answer(part, now_s - age_s)
-        for part, (number, age_s) in news.held.items():
-            self._add_quarantine(part, number, now_s - age_s, now_s)
-        for part, losses in news.lost.items():
-            for target, age_s in losses.items():
-                self._add_loss(part, target, now_s - age_s)
+        for part, suspect in news.lost.items():
+            for target, age_s in suspect.lost_s.items():
+                at_s = now_s - age_s
+                self._add_loss(part, target, at_s, suspect.companions)
             if part in self._answered and part not in self._lost:
                 self._told_until_s[part] = now_s + ANSWER_NEWS_S
+        for part, (number, age_s) in news.held.items():
+            self._add_quarantine(part, number, now_s - age_s, now_s)
         self._update(news.lost, now_s)
 
     def take_changes(self) -> list[Change]:
@@ -220,12 +262,29 @@
         changes, self._changes = self._changes, []
         return changes
 
-    def _add_loss(self, part: str, target: str, at_s: float) -> None:
-        if self._answered.get(part, float('-inf')) > at_s - ANSWER_MEMORY_S:
+    def _is_sound(self, part: str, at_s: float) -> bool:
+        """Return whether a part was answered shortly before or later."""
+        answered_s = self._answered.get(part, float('-inf'))
+        return answered_s > at_s - ANSWER_MEMORY_S
+
+    def _has_companions(self, part: str, parts: Collection[str]) -> bool:
+        """Return whether a request is like those that were lost."""
+        suspect = self._lost.get(part)
+        return suspect is None or all(
+            other in parts or other in self._answered
+            for other in suspect.companions
+        )
+
+    def _add_loss(
+        self, part: str, target: str, at_s: float, others: Iterable[str]
+    ) -> None:
+        if self._is_sound(part, at_s):
             return
-        losses = self._lost.pop(part, {})
-        losses[target] = min(at_s, losses.get(target, at_s))
-        self._lost[part] = losses
+        suspect = self._lost.pop(part, None)
+        if suspect is None:
+            first = sorted(others)[:MAX_COMPANIONS]
+            suspect = Suspect({}, frozenset(first))
+        self._lost[part] = suspect.add(target, at_s, others)
         if len(self._lost) > MAX_SUSPECTS:
             del self._lost[next(iter(self._lost))]
 
@@ -236,13 +295,13 @@
             del self._answered[next(iter(self._answered))]
         self._lost.pop(part, None)
         quarantine = self._quarantines.get(part)
-        if quarantine is not None and at_s > quarantine.from_s:
+        if quarantine is not None and self._is_sound(part, quarantine.from_s):
             self._release(part)
 
     def _add_quarantine(
         self, part: str, number: int, from_s: float, now_s: float
     ) -> None:
-        if self._answered.get(part, float('-inf')) > from_s:
+        if self._is_sound(part, from_s):
             self._told_until_s[part] = now_s + ANSWER_NEWS_S
             return
         known = self._quarantines.get(part)
@@ -254,26 +313,32 @@
         quarantine = _Quarantine(number, from_s)
         if quarantine.end_s > now_s:
             self._quarantines[part] = quarantine
-            targets = len(self._lost.get(part, ()))
+            suspect = self._lost.get(part, Suspect({}))
             self._changes.append(
-                Change(part, number, quarantine.end_s - now_s, targets)
+                Change(
+                    part,
+                    number,
+                    quarantine.end_s - now_s,
+                    len(suspect.lost_s),
+                    suspect.companions,
+                )
             )
 
     def _update(self, parts: Collection[str], now_s: float) -> None:
         """Begin the quarantines for which there is enough evidence."""
         for part in parts:
-            losses = self._lost.get(part)
-            if losses is None:
+            suspect = self._lost.get(part)
+            if suspect is None:
                 continue
             quarantine = self._quarantines.get(part)
             if quarantine is not None:
-                if max(losses.values()) > quarantine.end_s:
+                if suspect.newest_s > quarantine.end_s:
                     number = quarantine.number + 1
                     self._add_quarantine(part, number, now_s, now_s)
                 continue
-            if len(losses) < TARGETS_LOST:
+            if len(suspect.lost_s) < TARGETS_LOST:
                 continue
-            enough_s = sorted(losses.values())[TARGETS_LOST - 1]
+            enough_s = sorted(suspect.lost_s.values())[TARGETS_LOST - 1]
             if now_s - enough_s >= SETTLE_S:
                 self._add_quarantine(part, 1, now_s, now_s)
 
@@ -304,8 +369,8 @@
             if now_s - quarantine.end_s > FORGET_AFTER_S:
                 self._lost.pop(part, None)
                 self._release(part)
-        for part, losses in tuple(self._lost.items()):
-            if now_s - max(losses.values()) > LOSS_MEMORY_S:
+        for part, suspect in tuple(self._lost.items()):
+            if now_s - suspect.newest_s > LOSS_MEMORY_S:
                 del self._lost[part]
         for part, until_s in tuple(self._told_until_s.items()):
             if until_s < now_s:
