Take answers without length on the path of calls by thread as whole

Callers of that path got an error for a whole answer that ended with its connection, as answers may without a length or chunks. Cause: the reader took any end of the connection as a cut. Change: such an answer is complete when its connection is closed, and broken when it is reset; streams still need their final event.

--- a/tests/adapters/test_targets.py
+++ b/tests/adapters/test_targets.py
@@ -1,6 +1,7 @@
 """Attempts over real sockets."""
 
 import socket
+import struct
 import threading
 import time
 
@@ -92,6 +93,40 @@
         raise AssertionError('a truncated answer passed for whole')
 
 
+def _serve_without_length(reset):
+    listener = socket.create_server(('127.0.0.1', 0))
+
+    def run():
+        connection, _ = listener.accept()
+        with connection:
+            _receive_request(connection)
+            connection.sendall(
+                b'HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n\r\nall of it'
+            )
+            if reset:
+                time.sleep(0.1)
+                linger = struct.pack('ii', 1, 0)
+                connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, linger
+                )
+
+    threading.Thread(target=run, daemon=True).start()
+    return f'127.0.0.1:{listener.getsockname()[1]}'
+
+
+def test_an_answer_without_a_length_ends_with_its_connection() -> None:
+    address = _serve_without_length(reset=False)
+    opened = targets_adapter.make_targets().open(_attempt(address))
+    assert _read(opened) == b'all of it'
+
+
+def test_an_answer_without_a_length_that_is_reset_is_broken() -> None:
+    address = _serve_without_length(reset=True)
+    opened = targets_adapter.make_targets().open(_attempt(address))
+    with pytest.raises(port.AttemptFailed):
+        _read(opened)
+
+
 def test_an_answer_of_another_attempt_is_crossed() -> None:
     opened = targets_adapter.make_targets().open(
         _attempt(_serve(_head(2, 'a2') + b'ok'))
--- a/wigeonfall/adapters/http_response.py
+++ b/wigeonfall/adapters/http_response.py
@@ -25,6 +25,7 @@
         self.body: list[bytes] = []
         self.head_done = False
         self.keep_alive = False
+        self.ends_at_eof = False
         self.parser: httptools.HttpResponseParser | None = None
         self.whole = False
 
@@ -39,6 +40,9 @@
         """
         if self.parser is not None:
             self.keep_alive = self.parser.should_keep_alive()
+        framing = {'content-length', 'transfer-encoding'}
+        names = {name.lower() for name, _ in self.headers}
+        self.ends_at_eof = not framing & names
         self.head_done = True
 
     def on_body(self, body: bytes) -> None:
@@ -86,7 +90,7 @@
             ResponseError: the answer is malformed or cut short.
         """
         while not self._parts.body and not self._parts.whole:
-            _receive(self._sock, self._parser)
+            _receive(self._sock, self._parser, self._parts)
         body = self._parts.body
         self._parts.body = []
         return body[0] if len(body) == 1 else b''.join(body)
@@ -110,7 +114,7 @@
     parser = httptools.HttpResponseParser(parts)
     parts.parser = parser
     while not parts.head_done:
-        _receive(sock, parser)
+        _receive(sock, parser, parts)
     bodiless = method == 'HEAD'
     parts.whole = parts.whole or bodiless
     return Response(
@@ -124,9 +128,12 @@
 
 
 def _receive(
-    sock: socket.socket, parser: httptools.HttpResponseParser
+    sock: socket.socket, parser: httptools.HttpResponseParser, parts: _Parts
 ) -> None:
     data = sock.recv(_RECEIVE_BYTES)
+    if not data and parts.head_done and parts.ends_at_eof:
+        parts.whole = True
+        return
     if not data:
         raise ResponseError('the connection ended inside an answer')
     try:
