--- a/tests/fakes/forwarding.py
+++ b/tests/fakes/forwarding.py
@@ -44,6 +44,7 @@
     not_run=b'Not-Run',
     receipt=b'Receipt',
     reserved=frozenset({b'reserved'}),
+    rate_limit=b'Rate-Limit',
 )
 SAFE = make_route(
     'safe', '/safe/', repeat=Repeat.SAFE, attempts_limit=2, timeout_s=2.0
--- a/wigeonfall/events.py
+++ b/wigeonfall/events.py
@@ -71,6 +71,8 @@
     TARGET_LEAVING = (520, logging.INFO, 'target is leaving')
     TARGET_BACKED_OFF = (521, logging.WARNING, 'target backed off')
     TARGET_LIMIT_LOWERED = (522, logging.INFO, 'concurrency limit lowered')
+    TARGET_RATE_LIMITED = (523, logging.WARNING, 'target limits request rate')
+    TARGET_RATE_UNLIMITED = (524, logging.INFO, 'target lifted rate limit')
 
     ROLLOUT_MOVED = (601, logging.INFO, 'rollout state changed')
     REGRESSION_FOUND = (602, logging.WARNING, 'regression found')
--- a/wigeonfall/forwarding/attempt.py
+++ b/wigeonfall/forwarding/attempt.py
@@ -10,6 +10,7 @@
 
 from . import exchange as exchange_module
 from ..model.target import Target
+from ..policy import target_rates
 from .exchange import Exchange
 from .exchange import ExchangeError
 from .header_names import HeaderNames
@@ -162,6 +163,7 @@
             AttemptOutcome.TIMED_OUT, detail='no response head in time'
         )
     names = context.names
+    _record_rate_limit(context, sent.slot.target, head)
     if head.header(names.not_run.lower()) or head.status == MISDIRECTED:
         return AttemptResult(
             AttemptOutcome.NOT_RUN, head.status, 'refused by the target'
@@ -177,6 +179,18 @@
     return await relay_plain(context, request, sent, head, relay)
 
 
+def _record_rate_limit(
+    context: AttemptContext, target: Target, head: ResponseHead
+) -> None:
+    if head.status == MISDIRECTED:
+        return
+    value = head.header(context.names.rate_limit.lower())
+    per_s = target_rates.parse(value)
+    # An answer without a limit ends the one before; an invalid one does not.
+    if per_s is not None or not value:
+        context.observations.record_rate_limit(target.name, per_s)
+
+
 def _is_valid(head: ResponseHead, names: HeaderNames) -> bool:
     if head.header(names.body_encoding.lower()):
         return False
--- a/wigeonfall/forwarding/header_names.py
+++ b/wigeonfall/forwarding/header_names.py
@@ -19,6 +19,7 @@
         receipt: in an answer, proof that it comes from the target.
         reserved: headers that only instances may set, in lower case.
         body_encoding: in an answer, set if an intermediary encoded the body.
+        rate_limit: in an answer, requests a second that the target accepts.
         last_event_id: in a resumed request, the last event the caller got.
     """
 
@@ -32,5 +33,6 @@
     not_run: bytes
     receipt: bytes
     reserved: frozenset[bytes]
+    rate_limit: bytes
     body_encoding: bytes = b'Content-Encoding'
     last_event_id: bytes = b'Last-Event-Id'
--- a/wigeonfall/forwarding/observations.py
+++ b/wigeonfall/forwarding/observations.py
@@ -77,6 +77,15 @@
             )
         self._report('pause', name, round(pause_s, 4), goal_s)
 
+    def record_rate_limit(self, name: str, per_s: float | None) -> None:
+        """Record the request rate that an answer names, None for no limit."""
+        if not self._balancer.rates.observe(name, per_s):
+            return
+        if per_s is None:
+            self._record(Event.TARGET_RATE_UNLIMITED, target=name)
+        else:
+            self._record(Event.TARGET_RATE_LIMITED, target=name, per_s=per_s)
+
     def record_broken_connection(self, name: str, now_s: float) -> None:
         """Record a connection that broke or was refused."""
         pause_s = self._balancer.record_broken_connection(name, now_s)
--- a/wigeonfall/metrics.py
+++ b/wigeonfall/metrics.py
@@ -1,5 +1,6 @@
 """Metrics of one instance, counted from its events."""
 
+import math
 from typing import Any
 
 import prometheus_client
@@ -44,6 +45,12 @@
             'Prompt parts that crashed targets and are not released.',
             registry=registry,
         )
+        self.target_rate_limit = prometheus_client.Gauge(
+            'wigeonfall_target_rate_limit',
+            'Requests a second that a target accepts from all instances.',
+            ['target'],
+            registry=registry,
+        )
         self.answer_seconds = prometheus_client.Histogram(
             'wigeonfall_answer_seconds',
             'Time from the call to the end of its answer.',
@@ -106,6 +113,12 @@
             metrics.attempt_failures.labels(fields['kind']).inc()
         elif event in (Event.PART_QUARANTINED, Event.PART_RELEASED):
             metrics.quarantined_parts.set(fields['held'])
+        elif event is Event.TARGET_RATE_LIMITED:
+            target = metrics.label('target', fields['target'])
+            metrics.target_rate_limit.labels(target).set(fields['per_s'])
+        elif event is Event.TARGET_RATE_UNLIMITED:
+            target = metrics.label('target', fields['target'])
+            metrics.target_rate_limit.labels(target).set(math.inf)
 
     return record_and_count
 
--- a/wigeonfall/policy/load_balancer.py
+++ b/wigeonfall/policy/load_balancer.py
@@ -16,6 +16,7 @@
 
 from ..model.target import Target
 from .moving_average import PeerAverage
+from .target_rates import TargetRates
 from .target_stats import DEFAULT_SLOTS
 from .target_stats import FIXED_COST_TOKENS
 from .target_stats import PeerLoad
@@ -60,9 +61,13 @@
 
     Args:
         data_center: data centre of this instance.
+
+    Attributes:
+        rates: request rates that targets accept.
     """
 
     def __init__(self, data_center: str) -> None:
+        self.rates = TargetRates()
         self._data_center = data_center
         self._stats: dict[str, TargetStats] = {}
         self._estimates: dict[str, TargetEstimate] = {}
@@ -79,6 +84,7 @@
         for name in tuple(self._stats):
             if name not in present and not self._stats[name].own_requests:
                 del self._stats[name]
+                self.rates.forget(name)
         for name, target in present.items():
             known = self._stats.get(name)
             if known is None or (
@@ -87,6 +93,7 @@
                 own_requests = known.own_requests if known else 0
                 known = TargetStats(target, _slots(target), own_requests)
                 self._stats[name] = known
+                self.rates.forget(name)
             known.target = target
 
     def set_peer_loads(self, loads: Iterable[PeerLoad]) -> None:
