--- a/wigeonfall/forwarding/attempt.py
+++ b/wigeonfall/forwarding/attempt.py
@@ -188,7 +188,9 @@
     per_s = target_rates.parse(value)
     # An answer without a limit ends the one before; an invalid one does not.
     if per_s is not None or not value:
-        context.observations.record_rate_limit(target.name, per_s)
+        context.observations.record_rate_limit(
+            target.name, per_s, time.monotonic()
+        )
 
 
 def _is_valid(head: ResponseHead, names: HeaderNames) -> bool:
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -37,6 +37,7 @@
 from .internal_pages import Page
 from .observations import Observations
 from .part_watch import PartWatch
+from .peer_news import NewsExchange
 from .peer_state import PeerState
 from .peers import PeerLink
 from .peers import Peers
@@ -78,7 +79,7 @@
             customer_quotas.make_terms(lambda: self._settings.quota),
         )
         self._peers = Peers(settings.listen.peers_address)
-        self._peers.add_addresses(_seed_addresses(settings))
+        self._peers.add_addresses(settings.seed_addresses)
         self._topology = Topology(
             lambda: self._settings, self._peers, self._started_s
         )
@@ -140,7 +141,7 @@
             send_on_change=lambda: (
                 not self._topology.uses_hubs(time.monotonic())
             ),
-            part_watch=self._part_watch,
+            news=self._make_news_exchange(),
             record=record,
         )
         self._observations = Observations(self._balancer, record)
@@ -242,7 +243,7 @@
         if settings.platform != self._settings.platform:
             self._store = self.adapter.make_store(settings.platform.address)
         self._settings = settings
-        self._peers.add_addresses(_seed_addresses(settings))
+        self._peers.add_addresses(settings.seed_addresses)
 
     def reject_calls(self) -> None:
         """Reject calls from now on, so that callers use other instances."""
@@ -267,6 +268,9 @@
         self._quotas.keep_peers(self._peers.known_names(now_s))
         self._cluster_state.refresh_targets()
         self._balancer.set_peer_loads(self._peers.loads(now_s))
+        rates = self._balancer.rates
+        rates.keep_peers(self._peers.known_names(now_s))
+        rates.set_share(self._topology.limit_share(now_s))
 
     def _record_peer_changes(self, now_s: float) -> None:
         live = self._peers.live_names(now_s)
@@ -305,6 +309,16 @@
             record=self.record,
         )
 
+    def _make_news_exchange(self) -> NewsExchange:
+        return NewsExchange(
+            name=self._settings.instance.name,
+            incarnation=self._states.incarnation,
+            part_watch=self._part_watch,
+            rates=self._balancer.rates,
+            peers_count=lambda now_s: not self._topology.uses_hubs(now_s),
+            record=self.record,
+        )
+
     def _slot_client_context(self) -> slot_client.SlotClientContext:
         settings = self._settings
         return slot_client.SlotClientContext(
@@ -381,10 +395,3 @@
             lambda: self._link, local_addr=(host, int(port))
         )
         await self._link.run()
-
-
-def _seed_addresses(settings: ForwardingSettings) -> tuple[str, ...]:
-    """Return the peer addresses of seeds; all hosts use the same port."""
-    port = settings.listen.peers_address.rpartition(':')[2]
-    hosts = (seed.rpartition(':')[0] for seed in settings.peers.seeds)
-    return tuple(f'{host}:{port}' for host in hosts)
--- a/wigeonfall/forwarding/observations.py
+++ b/wigeonfall/forwarding/observations.py
@@ -77,14 +77,12 @@
             )
         self._report('pause', name, round(pause_s, 4), goal_s)
 
-    def record_rate_limit(self, name: str, per_s: float | None) -> None:
+    def record_rate_limit(
+        self, name: str, per_s: float | None, now_s: float
+    ) -> None:
         """Record the request rate that an answer names, None for no limit."""
-        if not self._balancer.rates.observe(name, per_s):
-            return
-        if per_s is None:
-            self._record(Event.TARGET_RATE_UNLIMITED, target=name)
-        else:
-            self._record(Event.TARGET_RATE_LIMITED, target=name, per_s=per_s)
+        if self._balancer.record_rate_limit(name, per_s, now_s):
+            record_rate_limit(self._record, name, per_s)
 
     def record_broken_connection(self, name: str, now_s: float) -> None:
         """Record a connection that broke or was refused."""
@@ -102,6 +100,14 @@
             self._reports.append(Report(kind, name, values))
 
 
+def record_rate_limit(record: Record, name: str, per_s: float | None) -> None:
+    """Record a limit that began or changed, or None for one that ended."""
+    if per_s is None:
+        record(Event.TARGET_RATE_UNLIMITED, target=name)
+    else:
+        record(Event.TARGET_RATE_LIMITED, target=name, per_s=per_s)
+
+
 def apply_report(
     report: Report,
     balancer: LoadBalancer,
--- a/wigeonfall/forwarding/part_watch.py
+++ b/wigeonfall/forwarding/part_watch.py
@@ -1,15 +1,7 @@
-"""Keeps requests with quarantined prompt parts from targets.
-
-Instances tell each other of suspected and quarantined parts in datagrams of
-their own. Each repeats all that is still open, so lost, late and reordered
-datagrams do no harm.
-"""
+"""Keeps requests with quarantined prompt parts from targets."""
 
 from collections.abc import Callable
-import json
 import time
-from typing import Any
-import zlib
 
 import attrs
 import xxhash
@@ -20,14 +12,10 @@
 from ..policy.quarantine import PartNews
 from ..policy.quarantine import PROOF_S
 from ..policy.quarantine import Quarantines
-from ..policy.quarantine import Suspect
 from ..recorder import Record
 from .routed_request import RoutedRequest
 
-# First byte of a message; states and messages of arbiters begin otherwise.
-PREFIX = b'#'
 MAX_PART_CHARS = 64  # of an identifier; longer ones are hashed
-_COMPRESSION_LEVEL = 1  # fastest, as messages are small and frequent
 
 
 @attrs.frozen
@@ -80,19 +68,15 @@
             self.quarantines.record_answered(_keys(request), time.monotonic())
             self._record_changes()
 
-    def make_message(self, now_s: float) -> bytes | None:
-        """Return the message for peers, None if there is nothing to tell."""
+    def news(self, now_s: float) -> PartNews | None:
+        """Return what peers should know, None if there is nothing."""
         news = self.quarantines.news(now_s)
         self._record_changes()
-        return None if news is None else encode(news)
-
-    def receive(self, data: bytes) -> None:
-        """Apply a message of a peer.
+        return news
 
-        Raises:
-            ValueError: the bytes are not a valid message.
-        """
-        self.quarantines.merge(decode(data), time.monotonic())
+    def merge(self, news: PartNews, now_s: float) -> None:
+        """Apply what a peer knows."""
+        self.quarantines.merge(news, now_s)
         self._record_changes()
 
     def _record_changes(self) -> None:
@@ -112,72 +96,6 @@
                 self.record(Event.PART_RELEASED, part=change.part, held=held)
 
 
-def encode(news: PartNews) -> bytes:
-    """Encode news of parts."""
-    fields = {
-        'lost': {
-            part: [
-                {t: round(age_s, 2) for t, age_s in suspect.lost_s.items()},
-                sorted(suspect.companions),
-            ]
-            for part, suspect in news.lost.items()
-        },
-        'answered': {
-            part: round(age_s, 2) for part, age_s in news.answered.items()
-        },
-        'held': {
-            part: [number, round(age_s, 2)]
-            for part, (number, age_s) in news.held.items()
-        },
-    }
-    text = json.dumps(fields, separators=(',', ':'))
-    return PREFIX + zlib.compress(text.encode(), _COMPRESSION_LEVEL)
-
-
-def decode(data: bytes) -> PartNews:
-    """Decode news of parts; unknown fields are ignored.
-
-    Raises:
-        ValueError: the bytes are not a valid message.
-    """
-    try:
-        fields: dict[str, Any] = json.loads(
-            zlib.decompress(data[len(PREFIX) :])
-        )
-        return PartNews(
-            lost={
-                part: Suspect(
-                    {t: _age_s(age_s) for t, age_s in lost_s.items()},
-                    frozenset(companions),
-                )
-                for part, (lost_s, companions) in fields['lost'].items()
-            },
-            answered={
-                part: _age_s(age_s)
-                for part, age_s in fields['answered'].items()
-            },
-            held={
-                part: (int(number), _age_s(age_s))
-                for part, (number, age_s) in fields['held'].items()
-            },
-        )
-    except (
-        AttributeError,
-        KeyError,
-        TypeError,
-        ValueError,
-        zlib.error,
-    ) as error:
-        raise ValueError(f'invalid news of parts: {error!r}') from error
-
-
-def _age_s(value: Any) -> float:
-    age_s = float(value)
-    if not 0 <= age_s < float('inf'):
-        raise ValueError(f'age of {value} s')
-    return age_s
-
-
 def _keys(request: RoutedRequest) -> list[str]:
     """Return the shared parts, distinguished by service."""
     return [
--- /dev/null
+++ b/wigeonfall/forwarding/peer_news.py
@@ -0,0 +1,184 @@
+"""News of prompt parts and targets that instances tell each other.
+
+Each datagram repeats all that is still open at its sender, so lost, late and
+reordered ones do no harm. Instances of earlier versions reject them.
+"""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import json
+import time
+from typing import Any
+import zlib
+
+import attrs
+
+from ..policy.quarantine import PartNews
+from ..policy.quarantine import Suspect
+from ..policy.target_rates import RateNews
+from ..policy.target_rates import TargetRates
+from ..recorder import Record
+from .observations import record_rate_limit
+from .part_watch import PartWatch
+
+# First byte of a message; states and messages of arbiters begin otherwise.
+PREFIX = b'#'
+_COMPRESSION_LEVEL = 1  # fastest, as messages are small and frequent
+
+
+@attrs.frozen
+class PeerNews:
+    """The news of one instance.
+
+    Attributes:
+        name: name of the instance.
+        incarnation: random number, chosen at each start of the instance.
+        parts: suspected and quarantined prompt parts.
+        rates: limits that targets named, by target.
+    """
+
+    name: str
+    incarnation: int
+    parts: PartNews = PartNews()
+    rates: Mapping[str, RateNews] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class NewsExchange:
+    """Makes the news of this instance, and applies that of its peers.
+
+    Attributes:
+        name: name of this instance.
+        incarnation: random number, chosen at each start of the instance.
+        part_watch: suspected and quarantined prompt parts.
+        rates: rates that targets accept.
+        peers_count: returns whether peers count the requests that this
+            instance sends; with hubs, the arbiter counts those of all.
+        record: records events.
+    """
+
+    name: str
+    incarnation: int
+    part_watch: PartWatch
+    rates: TargetRates
+    peers_count: Callable[[float], bool]
+    record: Record
+
+    def make_message(self, now_s: float) -> bytes | None:
+        """Return the message for peers, None if there is nothing to tell."""
+        parts = self.part_watch.news(now_s)
+        rates = self.rates.news(self.peers_count(now_s), now_s)
+        if parts is None and not rates:
+            return None
+        return encode(
+            PeerNews(self.name, self.incarnation, parts or PartNews(), rates)
+        )
+
+    def receive(self, data: bytes) -> None:
+        """Apply a message of a peer.
+
+        Raises:
+            ValueError: the bytes are not a valid message.
+        """
+        news = decode(data)
+        if news.name == self.name:
+            return
+        now_s = time.monotonic()
+        self.part_watch.merge(news.parts, now_s)
+        changed = self.rates.merge(
+            news.name, news.incarnation, news.rates, now_s
+        )
+        for key in changed:
+            record_rate_limit(
+                self.record, key.rpartition('/')[0], news.rates[key].per_s
+            )
+
+
+def encode(news: PeerNews) -> bytes:
+    """Encode news."""
+    parts = news.parts
+    fields = {
+        'name': news.name,
+        'incarnation': news.incarnation,
+        'lost': {
+            part: [
+                {t: round(age_s, 2) for t, age_s in suspect.lost_s.items()},
+                sorted(suspect.companions),
+            ]
+            for part, suspect in parts.lost.items()
+        },
+        'answered': {
+            part: round(age_s, 2) for part, age_s in parts.answered.items()
+        },
+        'held': {
+            part: [number, round(age_s, 2)]
+            for part, (number, age_s) in parts.held.items()
+        },
+        'rates': {
+            target: [rate.per_s, round(rate.age_s, 2), rate.sent]
+            for target, rate in news.rates.items()
+        },
+    }
+    text = json.dumps(fields, separators=(',', ':'))
+    return PREFIX + zlib.compress(text.encode(), _COMPRESSION_LEVEL)
+
+
+def decode(data: bytes) -> PeerNews:
+    """Decode news; unknown fields are ignored.
+
+    Raises:
+        ValueError: the bytes are not a valid message.
+    """
+    try:
+        fields: dict[str, Any] = json.loads(
+            zlib.decompress(data[len(PREFIX) :])
+        )
+        return PeerNews(
+            name=str(fields['name']),
+            incarnation=int(fields['incarnation']),
+            parts=_parts(fields),
+            rates={
+                target: RateNews(
+                    None if per_s is None else _not_negative(per_s),
+                    _not_negative(age_s),
+                    int(sent),
+                )
+                for target, (per_s, age_s, sent) in fields['rates'].items()
+            },
+        )
+    except (
+        AttributeError,
+        KeyError,
+        OverflowError,
+        TypeError,
+        ValueError,
+        zlib.error,
+    ) as error:
+        raise ValueError(f'invalid news of a peer: {error!r}') from error
+
+
+def _parts(fields: dict[str, Any]) -> PartNews:
+    return PartNews(
+        lost={
+            part: Suspect(
+                {t: _not_negative(age_s) for t, age_s in lost_s.items()},
+                frozenset(companions),
+            )
+            for part, (lost_s, companions) in fields['lost'].items()
+        },
+        answered={
+            part: _not_negative(age_s)
+            for part, age_s in fields['answered'].items()
+        },
+        held={
+            part: (int(number), _not_negative(age_s))
+            for part, (number, age_s) in fields['held'].items()
+        },
+    )
+
+
+def _not_negative(value: Any) -> float:
+    number = float(value)
+    if not 0 <= number < float('inf'):
+        raise ValueError(f'{value!r} is not a number from 0 on')
+    return number
--- a/wigeonfall/forwarding/peers.py
+++ b/wigeonfall/forwarding/peers.py
@@ -13,14 +13,14 @@
 
 from . import arbiter_messages
 from ..events import Event
-from . import part_watch
+from . import peer_news
 from . import peer_state
 from ..policy.arbiters import Candidate
 from ..policy.target_stats import PeerLoad
 from ..recorder import Record
 from .arbiter_messages import ArbiterDecisions
 from .arbiter_messages import ClientState
-from .part_watch import PartWatch
+from .peer_news import NewsExchange
 from .peer_state import PeerState
 
 MIN_SEND_INTERVAL_S = 0.05
@@ -205,7 +205,7 @@
             its clients.
         send_on_change: returns whether changes are sent before the next
             heartbeat.
-        part_watch: exchanges news of prompt parts.
+        news: exchanges news of prompt parts and targets.
         record: records events.
     """
 
@@ -216,10 +216,10 @@
         on_state: Callable[[PeerState], None],
         on_arbiter_message: Callable[[ClientState | ArbiterDecisions], None],
         send_on_change: Callable[[], bool],
-        part_watch: PartWatch,
+        news: NewsExchange,
         record: Record,
     ) -> None:
-        self._part_watch = part_watch
+        self._news = news
         self._make_state = make_state
         self._addresses = addresses
         self._on_state = on_state
@@ -245,8 +245,8 @@
                 )
             ):
                 self._on_arbiter_message(arbiter_messages.decode(data))
-            elif data.startswith(part_watch.PREFIX):
-                self._part_watch.receive(data)
+            elif data.startswith(peer_news.PREFIX):
+                self._news.receive(data)
             else:
                 self._on_state(peer_state.decode(data))
         except ValueError as error:
@@ -280,7 +280,7 @@
     def send(self) -> None:
         """Send the state to its recipients."""
         data = peer_state.encode(self._make_state())
-        news = self._part_watch.make_message(time.monotonic())
+        news = self._news.make_message(time.monotonic())
         for address in self._addresses():
             self._send(data, address)
             if news is not None:
--- a/wigeonfall/forwarding/settings.py
+++ b/wigeonfall/forwarding/settings.py
@@ -120,6 +120,13 @@
     log: LogSettings
     quota: QuotaSettings = QuotaSettings()
 
+    @property
+    def seed_addresses(self) -> tuple[str, ...]:
+        """Addresses of the seeds as peers; all use the same port."""
+        port = self.listen.peers_address.rpartition(':')[2]
+        hosts = (seed.rpartition(':')[0] for seed in self.peers.seeds)
+        return tuple(f'{host}:{port}' for host in hosts)
+
 
 _CHECKS: Mapping[str, ini.Check] = {
     'name': check_name,
--- a/wigeonfall/forwarding/topology.py
+++ b/wigeonfall/forwarding/topology.py
@@ -182,6 +182,15 @@
             return tuple(hub.address for hub in self.hubs(now_s))
         return tuple(p.state.address for p in self.peers.live(now_s))
 
+    def limit_share(self, now_s: float) -> float:
+        """Return the part of targets' limits that may be used on this side.
+
+        Instances and data centres that are not heard may use the rest.
+        """
+        if self.uses_hubs(now_s):
+            return self.peers.live_data_center_share(self.data_center, now_s)
+        return self.peers.live_share(now_s) or 1 / self.peers.fleet_size(now_s)
+
     def quota_visibility(self, now_s: float) -> token_quota.PeerVisibility:
         """Return which peers' quota usage is known."""
         own_age_s = now_s - self.started_s
--- a/wigeonfall/policy/load_balancer.py
+++ b/wigeonfall/policy/load_balancer.py
@@ -84,7 +84,6 @@
         for name in tuple(self._stats):
             if name not in present and not self._stats[name].own_requests:
                 del self._stats[name]
-                self.rates.forget(name)
         for name, target in present.items():
             known = self._stats.get(name)
             if known is None or (
@@ -93,7 +92,6 @@
                 own_requests = known.own_requests if known else 0
                 known = TargetStats(target, _slots(target), own_requests)
                 self._stats[name] = known
-                self.rates.forget(name)
             known.target = target
 
     def set_peer_loads(self, loads: Iterable[PeerLoad]) -> None:
@@ -136,6 +134,7 @@
         """Count a request that is sent to a target."""
         stats = self._changed(name)
         if stats is not None:
+            self.rates.count_sent(_rate_key(stats.target))
             stats.own_requests += 1
             stats.own_prefill_tokens += size.prompt_tokens
 
@@ -227,6 +226,19 @@
         stats.backoff_until_s = now_s + pause_s
         return pause_s
 
+    def record_rate_limit(
+        self, name: str, per_s: float | None, now_s: float
+    ) -> bool:
+        """Apply the limit that an answer names, None for no limit.
+
+        Returns:
+            Whether the limit began, ended or changed notably.
+        """
+        stats = self._changed(name)
+        return stats is not None and self.rates.observe(
+            _rate_key(stats.target), per_s, now_s
+        )
+
     def record_failure(self, name: str) -> None:
         """Count a failed request in the failure rate of a target."""
         stats = self._changed(name)
@@ -238,7 +250,8 @@
     ) -> list[TargetEstimate]:
         """Return estimates for some targets as of now.
 
-        They are kept until something is recorded of the target.
+        They are kept until something is recorded of the target, but not for
+        a target that limits its rate, as its room grows with time.
         """
         if now_s - self._estimated_s > ESTIMATE_MAX_AGE_S:
             self._estimates.clear()
@@ -251,7 +264,10 @@
                 stats = self._stats.get(name)
                 if stats is None:
                     continue
-                estimate = kept[name] = stats.estimate(now_s)
+                rate = self.rates.limit_of(_rate_key(stats.target))
+                estimate = stats.estimate(now_s, rate)
+                if rate is None:
+                    kept[name] = estimate
             estimates.append(estimate)
         return estimates
 
@@ -332,5 +348,10 @@
     return estimate.first_s(size) + answer_s <= budget.time_left_s
 
 
+def _rate_key(target: Target) -> str:
+    """Return a key that distinguishes the starts of a target."""
+    return f'{target.name}/{target.incarnation}'
+
+
 def _slots(target: Target) -> int:
     return target.slots or DEFAULT_SLOTS
--- a/wigeonfall/policy/target_stats.py
+++ b/wigeonfall/policy/target_stats.py
@@ -8,6 +8,7 @@
 from .moving_average import combined
 from .moving_average import MovingAverage
 from .moving_average import PeerAverage
+from .target_rates import TargetRate
 
 DEFAULT_SLOTS = 8
 FIXED_COST_TOKENS = 5000.0  # fixed cost of a first event, as prompt tokens
@@ -114,8 +115,16 @@
         peers = sum(load.prefill_tokens for load in self.peers)
         return self.own_prefill_tokens + peers
 
-    def estimate(self, now_s: float) -> 'TargetEstimate':
-        """Return an estimate for the target as of now."""
+    def estimate(
+        self, now_s: float, rate: TargetRate | None = None
+    ) -> 'TargetEstimate':
+        """Return an estimate for the target as of now.
+
+        Args:
+            now_s: present time on the monotonic clock.
+            rate: the rate that the target accepts, None if it names none.
+        """
+        room = float('inf') if rate is None else rate.room(now_s)
         prefill = (load.prefill_s for load in self.peers)
         decode = (load.decode_s for load in self.peers)
         return TargetEstimate(
@@ -124,8 +133,9 @@
             combined(self.decode_s, decode, now_s),
             FIXED_COST_TOKENS + self.prefill_tokens(),
             self.outstanding,
-            self.free_slots,
-            self.spare_slots,
+            min(room, self.free_slots),
+            min(room, self.spare_slots),
+            rate,
         )
 
 
@@ -141,6 +151,7 @@
         outstanding: requests outstanding there, over all instances.
         free_slots: number of requests that it may still get.
         spare_slots: number of requests with a short prompt that it may get.
+        rate: the rate that the target accepts, None if it names none.
     """
 
     stats: TargetStats
@@ -150,6 +161,17 @@
     outstanding: int
     free_slots: float
     spare_slots: float
+    rate: TargetRate | None = None
+
+    def concurrency(self, work_s: float) -> float:
+        """Return how many requests it can run side by side.
+
+        Args:
+            work_s: mean time of a request there.
+        """
+        if self.rate is None:
+            return self.stats.limit
+        return min(self.stats.limit, self.rate.used_per_s * work_s)
 
     def first_s(self, size: RequestSize) -> float:
         """Return the expected time to the first event, 0 if unknown."""
--- a/wigeonfall/policy/waiting.py
+++ b/wigeonfall/policy/waiting.py
@@ -302,10 +302,14 @@
     ) -> None:
         own = len(self._pending)
         share = own / max(1, own + sum(peers_waiting.values()))
-        self._room.slots = share * sum(e.stats.limit for e in estimates)
-        self._room.queued_s = sum(
+        queued_s = sum(
             self._work.of(pending.size) for pending in self._pending.values()
         )
+        mean_s = queued_s / max(1, own)
+        self._room.slots = share * sum(
+            e.concurrency(mean_s) for e in estimates
+        )
+        self._room.queued_s = queued_s
 
     def _expire_hopeless(self, now_s: float) -> None:
         """Let requests expire that others keep from beginning in time."""
