Leave targets that limit their rate to long requests

Cause: a limit counts requests and slots count time; the cheapest target got the request at hand. Change: a request below the mean work goes to a limited target only if its limit would go unused, or if no other target may get it.

--- a/tests/policy/overload.py
+++ b/tests/policy/overload.py
@@ -65,12 +65,16 @@
         load: factor on the arrivals of all kinds.
         kinds: further factors by name of the kind.
         targets: share of the targets that run.
+        limited: share of the targets that name a limit.
+        limit_per_s: requests a second that each of them accepts.
     """
 
     until_s: float
     load: float = 1.0
     kinds: dict[str, float] = attrs.field(factory=dict)
     targets: float = 1.0
+    limited: float = 0.0
+    limit_per_s: float = 0.0
 
 
 @attrs.define
@@ -168,6 +172,11 @@
         self.names = tuple(t.name for t in self._targets[:count])
         self.balancer.set_targets(self._targets)
 
+    def limit(self, share: float, per_s: float, now_s: float) -> None:
+        """Let a share of the targets name a limit."""
+        for name in self.names[: round(share * len(self.names))]:
+            self.balancer.record_rate_limit(name, per_s, now_s)
+
     def arrive(self, kind: Kind, now_s: float) -> None:
         """Add a new caller."""
         self.counts[kind.name].asked += 1
@@ -273,6 +282,7 @@
     now_s = 0.0
     for phase in phases:
         service.set_running(phase.targets)
+        service.limit(phase.limited, phase.limit_per_s, now_s)
         while now_s < phase.until_s:
             now_s += STEP_S
             for kind in kinds:
--- a/tests/policy/test_overload.py
+++ b/tests/policy/test_overload.py
@@ -55,3 +55,10 @@
     outage = (Phase(5.0), Phase(7.0, targets=0.0), Phase(20.0))
     counts = replay(outage, seed=seed).counts
     assert counts['report'].share == counts['answer'].share == 1.0
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_short_requests_use_up_limits_that_long_ones_need(seed):
+    """All fit if long ones go to the targets that limit their rate."""
+    limited = Phase(40.0, limited=0.8, limit_per_s=2.0)
+    assert replay((Phase(5.0), limited), seed=seed).share >= 0.99
--- a/wigeonfall/policy/load_balancer.py
+++ b/wigeonfall/policy/load_balancer.py
@@ -279,6 +279,7 @@
         now_s: float,
         busy: Iterable[TargetEstimate] = (),
         crowded: bool = False,
+        short: bool = False,
     ) -> TargetEstimate | None:
         """Return the open target with the lowest cost.
 
@@ -289,6 +290,8 @@
             now_s: present time on the monotonic clock.
             busy: further targets that may get it later.
             crowded: whether many requests wait.
+            short: whether it occupies a slot for less time than most. A
+                target that limits its rate is left to longer ones then.
 
         Returns:
             The best target, or None if none is open and expected to begin
@@ -296,6 +299,15 @@
             deadline is left out if any other target would meet it.
         """
         estimates = list(estimates)
+        if short and any(e.rate is not None for e in estimates):
+            busy = list(busy)
+            if any(
+                e.rate is None and e.stats.backoff_until_s <= now_s
+                for e in busy
+            ):
+                estimates = [
+                    e for e in estimates if e.rate is None or e.rate.is_full
+                ]
         candidates = [
             e
             for e in estimates
--- a/wigeonfall/policy/target_rates.py
+++ b/wigeonfall/policy/target_rates.py
@@ -82,6 +82,11 @@
         self.updated_s = now_s
         return max(0, math.floor(self.credit - self.reserve))
 
+    @property
+    def is_full(self) -> bool:
+        """Whether a request that is not sent now frees none for later."""
+        return self.credit >= max(MIN_BURST, BURST_S * self.used_per_s)
+
     def count(self, requests: int) -> None:
         """Count requests that were sent."""
         lowest = -max(1.0, MAX_DEBT_S * self.used_per_s)
--- a/wigeonfall/policy/waiting.py
+++ b/wigeonfall/policy/waiting.py
@@ -31,6 +31,7 @@
 from .expected_room import ExpectedRoom
 from .load_balancer import LoadBalancer
 from .load_balancer import TimeBudget
+from .moving_average import MovingAverage
 from .patience import RETRY_SHARE
 from .rank_shares import RankShares
 from .target_stats import RequestSize
@@ -108,6 +109,7 @@
         self._held_back: frozenset[int] = frozenset()
         self._room = ExpectedRoom()
         self._work = MeanWork()
+        self._mean_work_s = MovingAverage()
 
     def __len__(self) -> int:
         return len(self._pending)
@@ -127,6 +129,9 @@
     def add(self, pending: PendingRequest) -> None:
         """Add a request to the queue."""
         self._pending[pending.id] = pending
+        self._mean_work_s.observe(
+            self._work.of(pending.size), pending.arrived_s
+        )
         self._new.append(pending)
         heapq.heappush(self._deadlines, (pending.queue_deadline_s, pending.id))
 
@@ -245,8 +250,13 @@
                 if pending.is_eligible(e.stats.target.name)
             ),
             crowded=crowded,
+            short=self._is_short(pending),
         )
 
+    def _is_short(self, pending: PendingRequest) -> bool:
+        work_s = self._work.of(pending.size)
+        return work_s < self._mean_work_s.value
+
     def _update_order(
         self,
         estimates: list[TargetEstimate],
