Record the times between events of both versions of a rollout

Cause: unknown so far; event 611 gave a verdict without its evidence. Change: instances count the times between events, or of whole answers, by version and route, and share them with the other evidence; event 612 marks the move of all requests, and both events give the evidence. Counts of versions that are not ordered any more are dropped. No change of logic.

--- a/wigeonfall/events.py
+++ b/wigeonfall/events.py
@@ -84,6 +84,7 @@
     TARGET_ORDER_FAILED = (608, logging.WARNING, 'order to target failed')
     ROLLOUT_UNREADABLE = (609, logging.ERROR, 'stored rollout unreadable')
     VERSION_EVALUATED = (611, logging.INFO, 'new version evaluated')
+    REQUESTS_MOVED = (612, logging.INFO, 'all requests go to new version')
     REGRESSION_SUSPECTED = (610, logging.WARNING, 'regression suspected')
 
     PLATFORM_UNREACHABLE = (701, logging.WARNING, 'platform unreachable')
--- a/wigeonfall/forwarding/attempt.py
+++ b/wigeonfall/forwarding/attempt.py
@@ -20,6 +20,7 @@
 from .relaying import AttemptResult
 from .relaying import first_timeout_s
 from .relaying import raise_after_deadline
+from .relaying import record_pace
 from .relaying import Relay
 from .relaying import relay_failure
 from .relaying import relay_plain
@@ -58,6 +59,8 @@
             of a target.
         on_outcome: called with each outcome, as evidence on the version of
             the target.
+        on_time: called with the time between events of an answer, or of a
+            whole answer without events.
         parts: learns which prompt parts crash targets.
     """
 
@@ -67,6 +70,7 @@
     on_prompt_read: Callable[[Slot], None]
     on_misdirected: Callable[[Target], None]
     on_outcome: Callable[[RoutedRequest, Target, bool, float], None]
+    on_time: Callable[[RoutedRequest, Target, float], None]
     parts: PartWatch
 
 
@@ -115,6 +119,8 @@
         context.parts.record_lost(request, target, result.lasted_s)
         context.connections.close_idle_to(target.address)
     finally:
+        if request.route.streaming:
+            record_pace(context, request, sent, time.monotonic())
         exchange.release()
     if result.outcome is AttemptOutcome.NOT_RUN:
         execution.ran = ran_before
@@ -214,6 +220,8 @@
     if answered:
         answer_s = max(0.0, total_s - result.first_s)
         observations.record_answer(target.name, slot.size, answer_s, now_s)
+        if not request.route.streaming:
+            context.on_time(request, target, result.first_s)
         if result.events > 1:
             goal_s = request.route.pace_goal_s
             observations.record_pause(
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -300,6 +300,7 @@
                 on_prompt_read=self._slot_client.mark_prompt_read,
                 on_misdirected=self._on_misdirected,
                 on_outcome=self._rollouts.add_evidence,
+                on_time=self._rollouts.add_time,
                 parts=self._part_watch,
             ),
             slots=self._slot_client,
--- a/wigeonfall/forwarding/relaying.py
+++ b/wigeonfall/forwarding/relaying.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from ..model.target import Target
 from ..policy.event_stream import EventSplitter
 from ..policy.quarantine import PROOF_S
 from .caller_server import Headers
@@ -101,6 +102,8 @@
         started_s: when it was sent, on the monotonic clock.
         repeatable: whether another target may run it after this one.
         began_s: when the body of its answer began, None before that.
+        events: events of its answer so far.
+        timed: whether the time between its events was recorded.
     """
 
     exchange: Exchange
@@ -108,6 +111,8 @@
     started_s: float
     repeatable: bool
     began_s: float | None = None
+    events: int = 0
+    timed: bool = False
 
     def lasted_s(self, now_s: float) -> float:
         """Return the time since the answer began, 0 if it has not."""
@@ -125,6 +130,10 @@
     def on_prompt_read(self) -> Callable[[Slot], None]:
         """Called when a target has processed a prompt."""
 
+    @property
+    def on_time(self) -> Callable[[RoutedRequest, Target, float], None]:
+        """Called with the time between events, or of an answer without."""
+
     @property
     def parts(self) -> PartWatch:
         """Learns which prompt parts crash targets."""
@@ -204,6 +213,21 @@
     return first_s
 
 
+def record_pace(
+    context: RelayContext, request: RoutedRequest, sent: Sent, now_s: float
+) -> None:
+    """Record the time between the events of a stream, once.
+
+    A slow stream is recorded while it runs, as its end comes late.
+    """
+    lasted_s = sent.lasted_s(now_s)
+    if sent.timed or (sent.events < 2 and lasted_s < PROOF_S):
+        return
+    sent.timed = True
+    target = sent.slot.target
+    context.on_time(request, target, lasted_s / max(1, sent.events - 1))
+
+
 async def relay_plain(
     context: RelayContext,
     request: RoutedRequest,
@@ -280,9 +304,11 @@
         else:
             first_s = _record_first(context, sent, now_s)
         last_s = now_s
+        sent.events = splitter.event_count - events_before
         if not proven and sent.lasted_s(now_s) >= PROOF_S:
             proven = True
             context.parts.record_answered(request)
+            record_pace(context, request, sent, now_s)
         if not relay.started:
             relay.started = True
             relay.reply.start(head.status, caller_headers(head.headers), None)
--- a/wigeonfall/forwarding/rollouts.py
+++ b/wigeonfall/forwarding/rollouts.py
@@ -70,6 +70,14 @@
             request.service, target.version, ok, first_s, slowest_old_s
         )
 
+    def add_time(
+        self, request: RoutedRequest, target: Target, time_s: float
+    ) -> None:
+        """Count a time of an answer as evidence on the target's version."""
+        self.trials.add_time(
+            request.service, target.version, request.route.name, time_s
+        )
+
     async def run(self) -> None:
         """Decide on rollouts and store their results, until cancelled."""
         while True:
@@ -78,9 +86,17 @@
                 await self._decide(order)
 
     async def _decide(self, order: Order) -> None:
+        moved = self.trials.is_moving(order.service)
         verdict = self.trials.decide(
             order.service, self._old_versions_busy(order), time.monotonic()
         )
+        if self.trials.is_moving(order.service) and not moved:
+            self.record(
+                Event.REQUESTS_MOVED,
+                service=order.service,
+                version=order.version,
+                **self.trials.summary(order),
+            )
         entry = next(
             (item for item in self.entries() if item.name == order.name), None
         )
@@ -96,6 +112,7 @@
             verdict=verdict.value,
             written=written.is_ok(),
             at_version=entry.version,
+            **self.trials.summary(order),
         )
 
     def _old_versions_busy(self, order: Order) -> bool:
--- a/wigeonfall/policy/version_trial.py
+++ b/wigeonfall/policy/version_trial.py
@@ -8,6 +8,7 @@
 the evidence, so hubs pass on what all instances have counted.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 import enum
@@ -15,6 +16,9 @@
 import attrs
 import xxhash
 
+from . import version_pace
+from .version_pace import Times
+
 TRIAL_SHARE = 0.05  # half of the published limit on exposure
 MOVE_AFTER_SHARE = 0.5  # of the duration; all requests may move then
 DECIDE_AFTER_SHARE = 0.8  # of the duration; an order may be seen late
@@ -27,6 +31,9 @@
 _HASH_RANGE = 2**64
 _MOVING = 'moving'  # counted by each instance that moves all requests
 _TOTAL_PREFIX = '~'  # of the counts over all instances that a hub hears
+_OLD_PREFIX = 'before '  # of versions before that of an order
+_TIMES_PREFIX = 'times '  # of the number of answers of a route with a time
+_LOG_PREFIX = 'times-log '  # of the sum of the logarithms of these times
 
 
 class State(enum.Enum):
@@ -96,10 +103,42 @@
                 counts[_TOTAL_PREFIX + key] = self._total(key)
         return counts
 
-    def count(self, service: str, version: str, outcome: str) -> None:
-        """Count an answer."""
+    def count(
+        self, service: str, version: str, outcome: str, number: int = 1
+    ) -> None:
+        """Count an answer, or add a number to a sum."""
         key = f'{service}/{version}/{outcome}'
-        self._own[key] = self._own.get(key, 0) + 1
+        self._own[key] = self._own.get(key, 0) + number
+
+    def keep_only(self, versions: Collection[str]) -> None:
+        """Drop the counts of all versions but some.
+
+        Args:
+            versions: the versions to keep, each as "service/version/".
+        """
+        kept = tuple(versions)
+        for counts in (self._own, self._totals):
+            for key in tuple(counts):
+                if not key.startswith(kept):
+                    del counts[key]
+        for peer, heard in tuple(self._peers.items()):
+            self._peers[peer] = {
+                key: count
+                for key, count in heard.items()
+                if key.startswith(kept)
+            }
+            if not self._peers[peer]:
+                del self._peers[peer]
+
+    def names(self, service: str, version: str) -> set[str]:
+        """Return the names of the counts of a version."""
+        prefix = f'{service}/{version}/'
+        return {
+            key.removeprefix(prefix)
+            for counts in (self._own, self._totals, *self._peers.values())
+            for key in counts
+            if key.startswith(prefix)
+        }
 
     def set_peer_counts(
         self, peer: str, incarnation: int, counts: Mapping[str, int]
@@ -144,6 +183,13 @@
             trial.order = order
             if order.state is not State.RUNNING:
                 trial.verdict = order.state
+        self.evidence.keep_only(
+            [
+                f'{service}/{prefix}{order.version}/'
+                for service, order in present.items()
+                for prefix in ('', _OLD_PREFIX)
+            ]
+        )
 
     def allows(self, service: str, version: str, request_id: str) -> bool:
         """Return whether targets of a version may get a request."""
@@ -184,9 +230,83 @@
         slow = (
             new and slowest_old_s > 0 and first_s > SLOW_FACTOR * reference_s
         )
-        name = trial.order.version if new else f'before {trial.order.version}'
         good = ok and not slow
-        self.evidence.count(service, name, 'good' if good else 'bad')
+        self.evidence.count(
+            service,
+            _evidence_name(trial.order, version),
+            'good' if good else 'bad',
+        )
+
+    def add_time(
+        self, service: str, version: str, route: str, time_s: float
+    ) -> None:
+        """Count the time between events of an answer, or of a whole answer.
+
+        Args:
+            service: name of the service.
+            version: version of the target that answers.
+            route: name of the route.
+            time_s: the time.
+        """
+        trial = self._trials.get(service)
+        if trial is None or trial.verdict is not State.RUNNING:
+            return
+        name = _evidence_name(trial.order, version)
+        units = version_pace.log_units(time_s)
+        self.evidence.count(service, name, _TIMES_PREFIX + route)
+        self.evidence.count(service, name, _LOG_PREFIX + route, units)
+
+    def times(self, order: Order) -> dict[str, tuple[Times, Times]]:
+        """Return the times of the new and old version by route.
+
+        Those of all routes together are named ''.
+        """
+        old_name = _OLD_PREFIX + order.version
+        routes = {
+            name.removeprefix(_TIMES_PREFIX)
+            for name in self.evidence.names(order.service, order.version)
+            if name.startswith(_TIMES_PREFIX)
+        }
+        times = {
+            route: (
+                self._times(order.service, order.version, route),
+                self._times(order.service, old_name, route),
+            )
+            for route in routes
+        }
+        times[''] = (
+            _sum(new for new, _ in times.values()),
+            _sum(old for _, old in times.values()),
+        )
+        return times
+
+    def summary(self, order: Order) -> dict[str, float]:
+        """Return the evidence on a new version, for logs."""
+        good, bad = self._counts(order.service, order.version)
+        old_good, old_bad = self._counts(
+            order.service, _OLD_PREFIX + order.version
+        )
+        new, old = self.times(order)['']
+        return {
+            'good': good,
+            'bad': bad,
+            'old_good': old_good,
+            'old_bad': old_bad,
+            'times': new.count,
+            'slowdown': round(version_pace.slowdown(new, old), 2),
+        }
+
+    def is_moving(self, service: str) -> bool:
+        """Return whether all requests go to the new version."""
+        trial = self._trials.get(service)
+        return trial is not None and trial.moving
+
+    def _times(self, service: str, version: str, route: str) -> Times:
+        total = self.evidence.total
+        return Times(
+            total(service, version, _TIMES_PREFIX + route),
+            total(service, version, _LOG_PREFIX + route),
+        )
 
     def decide(
         self, service: str, old_busy: bool, now_s: float
@@ -242,7 +362,7 @@
         if bad < MIN_BAD_ANSWERS:
             return False
         old_good, old_bad = self._counts(
-            order.service, f'before {order.version}'
+            order.service, _OLD_PREFIX + order.version
         )
         old_share = old_bad / max(1, old_good + old_bad)
         return bad / (good + bad) > BAD_FACTOR * old_share + BAD_EXCESS
@@ -253,3 +373,17 @@
             total(service, version, 'good'),
             total(service, version, 'bad'),
         )
+
+
+def _evidence_name(order: Order, version: str) -> str:
+    """Return the name under which the answers of a version are counted."""
+    if version == order.version:
+        return version
+    return _OLD_PREFIX + order.version
+
+
+def _sum(times: Iterable[Times]) -> Times:
+    all_times = tuple(times)
+    return Times(
+        sum(t.count for t in all_times), sum(t.log_units for t in all_times)
+    )
