Send instances that hear hubs only the news that they need

Cause: hubs would repeat all suspected parts and all limits to each of hundreds of instances four times a second; with 100 parts and 500 limits that is a datagram of 26 kB (computed, not played). Change: hubs pass on parts that two lost targets had in common, and those in quarantine, and no limits, which the arbiter keeps; an answer without a limit no longer drops the estimate of a target. Result: tests of policy, forwarding and users_platform pass; 300 instances on state still hold a part within the published three seconds with a fifth of the news lost (test_hundreds_of_instances_hold_a_part_within_the_published_time).

--- a/tests/forwarding/test_peer_news.py
+++ b/tests/forwarding/test_peer_news.py
@@ -1,18 +1,27 @@
 """Tests of the news that instances tell each other."""
 
 import json
+import random
 import zlib
 
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
 
+from wigeonfall.forwarding.part_watch import PartWatch
 from wigeonfall.forwarding import peer_news
+from wigeonfall.forwarding.peer_news import NewsExchange
 from wigeonfall.forwarding.peer_news import PeerNews
 from wigeonfall.forwarding import peer_state
+from wigeonfall.policy import quarantine
 from wigeonfall.policy.quarantine import PartNews
+from wigeonfall.policy.quarantine import Quarantines
 from wigeonfall.policy.quarantine import Suspect
+from wigeonfall.policy import target_rates
 from wigeonfall.policy.target_rates import RateNews
+from wigeonfall.policy.target_rates import TargetRates
+
+MAX_DATAGRAM_BYTES = 65_507
 
 NEWS = PeerNews(
     name='i2',
@@ -78,3 +87,54 @@
     """They read it as a state, record that and go on."""
     with pytest.raises(ValueError):
         peer_state.decode(peer_news.encode(NEWS))
+
+
+@pytest.mark.parametrize('is_hub', [False, True])
+def test_hubs_tell_all_instances_no_more_than_these_need(is_hub):
+    quarantines = Quarantines('i1')
+    quarantines.record_lost(['once'], 't1', 0.0)
+    quarantines.record_lost(['often'], 't1', 0.0)
+    quarantines.record_lost(['often'], 't2', 0.0)
+    rates = TargetRates()
+    rates.observe('t1/1', 2.0, 0.0)
+    exchange = NewsExchange(
+        name='i1',
+        incarnation=1,
+        part_watch=PartWatch(quarantines, lambda _: 500, ignore),
+        rates=rates,
+        peers_count=lambda _: False,
+        is_hub=lambda _: is_hub,
+        record=ignore,
+    )
+    news = peer_news.decode(exchange.make_message(0.5))
+    assert set(news.parts.lost) == ({'often'} if is_hub else {'once', 'often'})
+    assert set(news.rates) == (set() if is_hub else {'t1/1'})
+
+
+def test_the_longest_news_fits_a_datagram():
+    draw = random.Random(1)
+
+    def name(digits):
+        return f'{draw.getrandbits(4 * digits):0{digits}x}'
+
+    def part():
+        return f'service/{name(16)}'
+
+    lost = {
+        part(): Suspect(
+            {name(8): 0.25 for _ in range(quarantine.MAX_TARGETS)},
+            frozenset(part() for _ in range(quarantine.MAX_COMPANIONS)),
+        )
+        for _ in range(2 * quarantine.MAX_NEWS_PARTS)
+    }
+    rates = {
+        f'i-{name(10)}/{name(12)}': RateNews(draw.random(), draw.random(), 9)
+        for _ in range(target_rates.MAX_NEWS_TARGETS)
+    }
+    parts = PartNews(lost, {part(): 1.0 for _ in range(100)}, {})
+    message = peer_news.encode(PeerNews('i1', 1, parts, rates))
+    assert len(message) < MAX_DATAGRAM_BYTES
+
+
+def ignore(*_args, **_fields):
+    """Record nothing."""
--- a/tests/policy/test_quarantine.py
+++ b/tests/policy/test_quarantine.py
@@ -166,7 +166,7 @@
     while now_s < STABILITY_S - 0.25:
         now_s += 0.25
         for sender in fleet:
-            news = sender.news(now_s)
+            news = sender.news(now_s, 2 if sender in hubs else 1)
             for hearer in fleet if sender in hubs else hubs:
                 if news and hearer is not sender and draw.random() > 0.2:
                     hearer.merge(news, now_s)
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -317,6 +317,7 @@
             part_watch=self._part_watch,
             rates=self._balancer.rates,
             peers_count=lambda now_s: not self._topology.uses_hubs(now_s),
+            is_hub=self._topology.passes_counts_on,
             record=self.record,
         )
 
--- a/wigeonfall/forwarding/part_watch.py
+++ b/wigeonfall/forwarding/part_watch.py
@@ -68,9 +68,14 @@
             self.quarantines.record_answered(_keys(request), time.monotonic())
             self._record_changes()
 
-    def news(self, now_s: float) -> PartNews | None:
-        """Return what peers should know, None if there is nothing."""
-        news = self.quarantines.news(now_s)
+    def news(self, now_s: float, min_targets: int) -> PartNews | None:
+        """Return what peers should know, None if there is nothing.
+
+        Args:
+            now_s: present time on the monotonic clock.
+            min_targets: least number of targets lost with a suspected part.
+        """
+        news = self.quarantines.news(now_s, min_targets)
         self._record_changes()
         return news
 
--- a/wigeonfall/forwarding/peer_news.py
+++ b/wigeonfall/forwarding/peer_news.py
@@ -21,6 +21,9 @@
 from .observations import record_rate_limit
 from .part_watch import PartWatch
 
+# Of targets lost with a part that hubs tell all instances of. These need the
+# part only to say that they know of an answer, before it is quarantined.
+HUB_MIN_TARGETS = 2
 # First byte of a message; states and messages of arbiters begin otherwise.
 PREFIX = b'#'
 _COMPRESSION_LEVEL = 1  # fastest, as messages are small and frequent
@@ -54,6 +57,8 @@
         rates: rates that targets accept.
         peers_count: returns whether peers count the requests that this
             instance sends; with hubs, the arbiter counts those of all.
+        is_hub: returns whether this instance tells all others, who need no
+            limits as the arbiter keeps to them.
         record: records events.
     """
 
@@ -62,12 +67,16 @@
     part_watch: PartWatch
     rates: TargetRates
     peers_count: Callable[[float], bool]
+    is_hub: Callable[[float], bool]
     record: Record
 
     def make_message(self, now_s: float) -> bytes | None:
         """Return the message for peers, None if there is nothing to tell."""
-        parts = self.part_watch.news(now_s)
+        is_hub = self.is_hub(now_s)
+        parts = self.part_watch.news(now_s, HUB_MIN_TARGETS if is_hub else 1)
         rates = self.rates.news(self.peers_count(now_s), now_s)
+        if is_hub:
+            rates = {}
         if parts is None and not rates:
             return None
         return encode(
--- a/wigeonfall/policy/load_balancer.py
+++ b/wigeonfall/policy/load_balancer.py
@@ -234,10 +234,14 @@
         Returns:
             Whether the limit began, ended or changed notably.
         """
-        stats = self._changed(name)
-        return stats is not None and self.rates.observe(
-            _rate_key(stats.target), per_s, now_s
-        )
+        stats = self._stats.get(name)
+        if stats is None:
+            return False
+        key = _rate_key(stats.target)
+        if per_s is None and self.rates.limit_of(key) is None:
+            return False
+        self._changed(name)
+        return self.rates.observe(key, per_s, now_s)
 
     def record_failure(self, name: str) -> None:
         """Count a failed request in the failure rate of a target."""
--- a/wigeonfall/policy/quarantine.py
+++ b/wigeonfall/policy/quarantine.py
@@ -204,8 +204,13 @@
         """Return the number of parts that are not released."""
         return len(self._quarantines)
 
-    def news(self, now_s: float) -> PartNews | None:
-        """Return what peers should know, or None if there is nothing."""
+    def news(self, now_s: float, min_targets: int = 1) -> PartNews | None:
+        """Return what peers should know, or None if there is nothing.
+
+        Args:
+            now_s: present time.
+            min_targets: least number of targets lost with a suspected part.
+        """
         self._update(tuple(self._lost), now_s)
         self._drop_old(now_s)
         held = {
@@ -219,7 +224,11 @@
         suspects = [
             (part, suspect)
             for part, suspect in self._lost.items()
-            if part in held or now_s - suspect.newest_s < LOSS_NEWS_S
+            if part in held
+            or (
+                len(suspect.lost_s) >= min_targets
+                and now_s - suspect.newest_s < LOSS_NEWS_S
+            )
         ]
         if len(suspects) > MAX_NEWS_PARTS:
             suspects.sort(key=lambda s: (-len(s[1].lost_s), -s[1].newest_s))
