Quarantine prompts that crash targets by their last part, too

Cause: the last part of a prompt was left out, as requests do not share it; those of a session do, and so does a request that comes again. Change: all parts of a prompt can be quarantined; a part that no other request holds never is, as three targets must be lost.

--- a/wigeonfall/forwarding/outcomes.py
+++ b/wigeonfall/forwarding/outcomes.py
@@ -121,7 +121,7 @@
             kind=result.outcome.value,
             detail=result.detail,
             ran=progress.ran,
-            parts=','.join(request.shared_parts[:MAX_LOGGED_PARTS]),
+            parts=','.join(request.prompt_parts[:MAX_LOGGED_PARTS]),
             lasted_ms=round(result.lasted_s * 1000),
         )
 
--- a/wigeonfall/forwarding/part_watch.py
+++ b/wigeonfall/forwarding/part_watch.py
@@ -53,7 +53,7 @@
             target: the target.
             lasted_s: time since its answer began, 0 if it had not.
         """
-        if request.shared_parts and lasted_s < PROOF_S:
+        if request.prompt_parts and lasted_s < PROOF_S:
             incarnation = f'{target.name}\0{target.incarnation}'
             self.quarantines.record_lost(
                 _keys(request),
@@ -64,7 +64,7 @@
 
     def record_answered(self, request: RoutedRequest) -> None:
         """Record a request whose answer shows that its prompt is sound."""
-        if request.shared_parts:
+        if request.prompt_parts:
             self.quarantines.record_answered(_keys(request), time.monotonic())
             self._record_changes()
 
@@ -102,10 +102,10 @@
 
 
 def _keys(request: RoutedRequest) -> list[str]:
-    """Return the shared parts, distinguished by service."""
+    """Return the parts of its prompt, distinguished by service."""
     return [
         f'{request.service}/{_shortened(part)}'
-        for part in request.shared_parts
+        for part in request.prompt_parts
     ]
 
 
--- a/wigeonfall/forwarding/routed_request.py
+++ b/wigeonfall/forwarding/routed_request.py
@@ -48,8 +48,8 @@
             served first.
         tokens: tokens that it counts against the customer's quota.
         size: prompt and answer tokens, by which its load is estimated.
-        shared_parts: identifiers of the parts of its prompt that other
-            requests may share; the last part is its own.
+        prompt_parts: identifiers of the parts of its prompt, in order. Other
+            requests may share them, those of its session also the last one.
         deadline_s: end of the caller's or the route's time limit, whichever
             is first, on the monotonic clock.
         caller_timeout_s: time that the caller waits from its arrival.
@@ -63,7 +63,7 @@
     rank: int
     tokens: float
     size: RequestSize
-    shared_parts: tuple[str, ...]
+    prompt_parts: tuple[str, ...]
     deadline_s: float
     caller_timeout_s: float
 
@@ -119,7 +119,7 @@
             rank=_rank(route, customer),
             tokens=_tokens(customer, prompt, answer),
             size=RequestSize(prompt, answer),
-            shared_parts=_shared_parts(call, names),
+            prompt_parts=_prompt_parts(call, names),
             deadline_s=call.arrived_s + min(caller_timeout_s, route.timeout_s),
             caller_timeout_s=caller_timeout_s,
         )
@@ -219,10 +219,10 @@
     return 0, 0
 
 
-def _shared_parts(call: Call, names: HeaderNames) -> tuple[str, ...]:
+def _prompt_parts(call: Call, names: HeaderNames) -> tuple[str, ...]:
     value = call.header(names.prompt_parts.lower()).decode('latin-1')
     identifiers = [part.partition(':')[0].strip() for part in value.split(',')]
-    return tuple(dict.fromkeys(filter(None, identifiers[:-1])))
+    return tuple(dict.fromkeys(filter(None, identifiers)))
 
 
 def _rank(route: Route, customer: KeyHolder | None) -> int:
