--- a/tests/policy/test_token_quota.py
+++ b/tests/policy/test_token_quota.py
@@ -289,3 +289,15 @@
     assert refused is not None and refused.delay_s <= 4.0
     # Tokens are reserved for the two callers that were refused.
     assert admitted_tokens(quotas, PEERS, False, 9.1) == 6000.0 - 2 * 100
+
+
+def test_a_refund_makes_room_once_more_when_its_charge_leaves_the_window():
+    """Requests that waited and were refused let a customer exceed its limit."""
+    quotas = TokenQuotas()
+    customer = make_customer()
+    taken = Charge('c', LIMIT_TOKENS, False)
+    assert quotas.take(customer, taken, PEERS, 0.0) is None
+    quotas.refund('c', LIMIT_TOKENS, 2.0)
+    assert quotas.take(customer, taken, PEERS, 2.1) is None
+    # Both requests would run within one window.
+    assert quotas.take(customer, taken, PEERS, 9.0) is not None
