List a lowered limit that is used besides the one before it

Cause: a lower limit empties the windows of a customer, which then uses it beside what the earlier limit had let through.

--- a/tests/policy/test_token_quota.py
+++ b/tests/policy/test_token_quota.py
@@ -301,3 +301,12 @@
     assert quotas.take(customer, taken, PEERS, 2.1) is None
     # Both requests would run within one window.
     assert quotas.take(customer, taken, PEERS, 9.0) is not None
+
+
+def test_a_lowered_limit_is_used_besides_the_one_before_in_one_window():
+    quotas = TokenQuotas()
+    charge = Charge('c', LIMIT_TOKENS, False)
+    assert quotas.take(make_customer(), charge, PEERS, 0.0) is None
+    lowered = make_customer(tokens_per_s=900.0)
+    charge = Charge('c', LIMIT_TOKENS / 2, False)
+    assert quotas.take(lowered, charge, PEERS, 1.0) is not None
