--- a/tests/policy/test_token_quota.py
+++ b/tests/policy/test_token_quota.py
@@ -292,7 +292,7 @@
 
 
 def test_a_refund_makes_room_once_more_when_its_charge_leaves_the_window():
-    """Requests that waited and were refused let a customer exceed its limit."""
+    """Requests that waited and were refused let a customer exceed it."""
     quotas = TokenQuotas()
     customer = make_customer()
     taken = Charge('c', LIMIT_TOKENS, False)
--- a/wigeonfall/policy/target_rates.py
+++ b/wigeonfall/policy/target_rates.py
@@ -36,8 +36,8 @@
     Attributes:
         per_s: requests a second that it accepts, None if it lifted a limit.
         age_s: age of the answer that said so.
-        sent: requests that the instance has sent there since its start, 0 if
-            others count them.
+        sent: requests that the instance has sent there since it knows of the
+            limit, 0 if others count them.
     """
 
     per_s: float | None
