Read the era of the store, and record when it rises

Hypotheses on a restored store could not be told apart: no log said that the store had gone back, nor which instances had noticed. Change: the client reads the header Store-Era, listings and changes carry it, and event 714 names the eras and revisions before and after; the stand-in of the store begins eras. No decision depends on eras yet.

--- a/tests/fakes/metadata_store.py
+++ b/tests/fakes/metadata_store.py
@@ -95,6 +95,7 @@
         data = json.dumps(value).encode()
         self.send_response(status)
         self.send_header('Content-Length', str(len(data)))
+        self.send_header('Store-Era', str(self.server.objects.era))
         self.end_headers()
         # A stopped process closes the connections of its watches.
         with contextlib.suppress(ConnectionError):
--- a/tests/fakes/object_store.py
+++ b/tests/fakes/object_store.py
@@ -1,4 +1,4 @@
-"""A store of objects in memory, with watches and outages."""
+"""A store of objects in memory, with watches, outages and restores."""
 
 import threading
 
@@ -18,6 +18,15 @@
 POLL_S = 0.02
 
 
+@attrs.frozen
+class Copy:
+    """The state of a store at one revision."""
+
+    revision: int
+    objects: dict[tuple[str, str], StoredObject]
+    history: tuple[tuple[int, Change], ...]
+
+
 class MemoryObjects:
     """Objects by kind and name; all calls may come from any thread."""
 
@@ -25,6 +34,7 @@
         self.away = False
         self.lose_next = 0
         self.calls = 0
+        self.era = 1
         self._revision = 1
         self._objects: dict[tuple[str, str], StoredObject] = {}
         self._history: list[tuple[int, Change]] = []
@@ -64,6 +74,23 @@
             self._forgotten = self._revision
             self._changed.notify_all()
 
+    def copy(self) -> Copy:
+        """Return the present state, to restore it later."""
+        with self._changed:
+            return Copy(
+                self._revision, dict(self._objects), tuple(self._history)
+            )
+
+    def restore(self, copy: Copy) -> None:
+        """Go back to an earlier state, which begins a new era."""
+        with self._changed:
+            self._revision = copy.revision
+            self._objects = dict(copy.objects)
+            self._history = list(copy.history)
+            self._forgotten = min(self._forgotten, copy.revision)
+            self.era += 1
+            self._changed.notify_all()
+
     def create(self, kind, name, value):
         """Write an object that must not exist."""
         if self.away:
@@ -96,19 +123,20 @@
             return Err(AWAY)
         with self._changed:
             found = [o for (k, _), o in self._objects.items() if k == kind]
-            return Ok(Listing(tuple(found), self._revision))
+            return Ok(Listing(tuple(found), self._revision, self.era))
 
     def _watch(self, kind, since, wait_s):
         self.calls += 1
         waited_s = 0.0
+        era = self.era
         while waited_s < wait_s:
             with self._changed:
-                if self.away:
+                if self.away or self.era != era:
                     return Err(AWAY)
                 if self.lose_next:
                     self.lose_next -= 1
                     return Err(AWAY)
-                if since < self._forgotten:
+                if since < self._forgotten or since > self._revision:
                     return Err(PlatformError(PlatformErrorKind.GONE, 'gone'))
                 changes = [
                     change
@@ -116,7 +144,7 @@
                     if revision > since and change.object.kind == kind
                 ]
                 if changes:
-                    return Ok(Changes(tuple(changes), self._revision))
+                    return Ok(Changes(tuple(changes), self._revision, era))
                 self._changed.wait(POLL_S)
             waited_s += POLL_S
-        return Ok(Changes((), self._revision))
+        return Ok(Changes((), self._revision, era))
--- a/wigeonfall/adapters/object_http.py
+++ b/wigeonfall/adapters/object_http.py
@@ -52,6 +52,19 @@
     address: str
 
 
+@attrs.frozen
+class Answer:
+    """An answer of the store.
+
+    Attributes:
+        value: its JSON values.
+        headers: its headers; names are compared without case.
+    """
+
+    value: dict[str, Any]
+    headers: Mapping[str, str]
+
+
 def make_client(address: str) -> Client:
     """Return a client of the store at an address."""
     return Client(
@@ -71,7 +84,18 @@
     body: Mapping[str, Any] | None = None,
     read_s: float = READ_TIMEOUT_S,
 ) -> Result[dict[str, Any], PlatformError]:
-    """Send a call and return the JSON values of its answer.
+    """Send a call and return the JSON values of its answer, as call does."""
+    return call(client, method, path, body, read_s).map(lambda a: a.value)
+
+
+def call(
+    client: Client,
+    method: str,
+    path: str,
+    body: Mapping[str, Any] | None = None,
+    read_s: float = READ_TIMEOUT_S,
+) -> Result[Answer, PlatformError]:
+    """Send a call and return its answer.
 
     Args:
         client: connections to the store.
@@ -104,12 +128,13 @@
 
 def _read_response(
     response: urllib3.BaseHTTPResponse, writes: bool
-) -> Result[dict[str, Any], PlatformError]:
+) -> Result[Answer, PlatformError]:
     if response.status >= http.HTTPStatus.BAD_REQUEST:
         kind = _KIND_OF_STATUS.get(response.status, PlatformErrorKind.INVALID)
         return Err(PlatformError(kind, f'status {response.status}'))
     try:
-        return Ok(json.loads(response.data or b'{}'))
+        value = json.loads(response.data or b'{}')
+        return Ok(Answer(value, response.headers))
     except ValueError as error:
         return Err(_unavailable(str(error), effect_unknown=writes))
 
--- a/wigeonfall/events.py
+++ b/wigeonfall/events.py
@@ -99,6 +99,7 @@
     MESSAGE_NOT_SENT = (713, logging.WARNING, 'message to peer not sent')
     CLIENT_DROPPED = (712, logging.WARNING, 'slots of silent peer released')
     REGISTRATION_FAILED = (710, logging.WARNING, 'instance not registered')
+    STORE_RESTORED = (714, logging.WARNING, 'store restored from older copy')
     TOPIC_UNREADABLE = (705, logging.WARNING, 'topic state unreadable')
 
     def __init__(self, number: int, level: int, message: str) -> None:
--- a/wigeonfall/explain.py
+++ b/wigeonfall/explain.py
@@ -32,6 +32,7 @@
         Event.WATCH_LOST,
         Event.WATCH_REGAINED,
         Event.SNAPSHOT_LOADED,
+        Event.STORE_RESTORED,
         Event.VERSION_EVALUATED,
         Event.PEER_UNREACHABLE,
         Event.PEER_REACHABLE,
--- a/wigeonfall/forwarding/store_watcher.py
+++ b/wigeonfall/forwarding/store_watcher.py
@@ -59,7 +59,21 @@
     return thread
 
 
+@attrs.define
+class _Progress:
+    """How far a watch has come.
+
+    Attributes:
+        era: era of the newest answer, 0 before any.
+        revision: revision of the newest answer in it.
+    """
+
+    era: int = 0
+    revision: int = 0
+
+
 def _run(watcher: StoreWatcher) -> None:
+    progress = _Progress()
     revision: int | None = None
     failures = 0
     while not watcher.stopping.is_set():
@@ -69,11 +83,11 @@
             watcher.stopping.wait(DISABLED_POLL_S)
             continue
         if revision is None:
-            revision, error = _list(watcher)
+            revision, error = _list(watcher, progress)
             if error is None:
                 _settle(watcher)
         else:
-            revision, error = _watch(watcher, revision)
+            revision, error = _watch(watcher, revision, progress)
         if error is None:
             if failures:
                 watcher.record(Event.WATCH_REGAINED, kind=watcher.kind)
@@ -95,15 +109,38 @@
         watcher.stopping.wait(SETTLE_POLL_S)
 
 
-def _list(watcher: StoreWatcher) -> tuple[int | None, str | None]:
+def _list(
+    watcher: StoreWatcher, progress: _Progress
+) -> tuple[int | None, str | None]:
     outcome = watcher.get_store().list(watcher.kind, False)
     if isinstance(outcome, Err):
         return None, outcome.err_value.message
-    watcher.on_listing(watcher.kind, outcome.ok_value)
-    return outcome.ok_value.revision, None
-
-
-def _watch(watcher: StoreWatcher, since: int) -> tuple[int | None, str | None]:
+    listing = outcome.ok_value
+    _record_restore(watcher, progress, listing)
+    watcher.on_listing(watcher.kind, listing)
+    return listing.revision, None
+
+
+def _record_restore(
+    watcher: StoreWatcher, progress: _Progress, answer: Listing | Changes
+) -> None:
+    """Record an event if the era of the store has changed."""
+    if 0 < progress.era < answer.era:
+        watcher.record(
+            Event.STORE_RESTORED,
+            kind=watcher.kind,
+            era=answer.era,
+            revision=answer.revision,
+            previous_era=progress.era,
+            previous_revision=progress.revision,
+        )
+    progress.era = max(progress.era, answer.era)
+    progress.revision = answer.revision
+
+
+def _watch(
+    watcher: StoreWatcher, since: int, progress: _Progress
+) -> tuple[int | None, str | None]:
     outcome = watcher.get_store().watch(watcher.kind, since, WATCH_TIMEOUT_S)
     if isinstance(outcome, Err):
         error = outcome.err_value
@@ -111,5 +148,7 @@
             return None, None
         # Changes may be lost with the connection, so list all again.
         return None, error.message
-    watcher.on_changes(watcher.kind, outcome.ok_value)
-    return outcome.ok_value.revision, None
+    changes = outcome.ok_value
+    _record_restore(watcher, progress, changes)
+    watcher.on_changes(watcher.kind, changes)
+    return changes.revision, None
--- a/wigeonfall/ports/objects.py
+++ b/wigeonfall/ports/objects.py
@@ -17,10 +17,13 @@
     Attributes:
         objects: the objects.
         revision: revision of the store at which they were read.
+        era: era of the store, which rises each time it is restored from an
+            older copy; 0 if the store does not tell.
     """
 
     objects: tuple[StoredObject, ...]
     revision: int
+    era: int = 0
 
 
 @attrs.frozen
@@ -44,16 +47,20 @@
         changes: the changes in order; empty if there were none before the
             timeout.
         revision: revision of the store after these changes.
+        era: era of the store, 0 if it does not tell.
     """
 
     changes: tuple[Change, ...]
     revision: int
+    era: int = 0
 
 
 @attrs.frozen
 class ObjectStore:
     """Calls to the store; each blocks and returns errors, never raises.
 
+    Revisions order changes within one era only.
+
     Attributes:
         list: reads all objects of a kind; True permits a cheaper read that
             may be seconds out of date.
