Order what instances know of the store within one era only

Cause: hubs and those that hear them kept the highest revision they had, as if revisions never went back; a change below it was neither announced nor fetched.

Change: positions are an era and a revision; a watch that goes on in another era lists again; listings and changes of an era that ended are dropped. A table that its operator counts as older is never taken, nor passed on, and one that only peers still have is fetched from them. Peers of releases without eras read the revisions as before, and are followed only while nobody tells eras. Events 715 and 716 name what was lost and what was written again. The tests failed before: the watch that goes on kept the state of the former era, and the series of restores needs positions, which there were none.

--- a/tests/fakes/forwarding.py
+++ b/tests/fakes/forwarding.py
@@ -244,6 +244,9 @@
             decode_order=decode_order,
             encode_order=lambda _order, state: {'state': state.value},
             instances_kind='instances',
+            writer_version=lambda entry: (
+                entry.value['table'].version if entry.kind == 'table' else 0
+            ),
             ready_path=b'/ready',
         )
 
--- a/tests/fakes/object_store.py
+++ b/tests/fakes/object_store.py
@@ -6,6 +6,7 @@
 from result import Err
 from result import Ok
 
+from wigeonfall.forwarding.store_view import StoreView
 from wigeonfall.ports.objects import Change
 from wigeonfall.ports.objects import Changes
 from wigeonfall.ports.objects import Listing
@@ -18,6 +19,16 @@
 POLL_S = 0.02
 
 
+def make_store_view(kinds, on_change=lambda _kind: True, record=None):
+    """Return a view of objects whose writers count versions in `v`."""
+    return StoreView(
+        kinds,
+        on_change,
+        lambda item: item.value.get('v', 0),
+        record or (lambda *_args, **_fields: None),
+    )
+
+
 @attrs.frozen
 class Copy:
     """The state of a store at one revision."""
@@ -35,6 +46,7 @@
         self.lose_next = 0
         self.calls = 0
         self.era = 1
+        self._watched_era = 0  # watches of the era before go on in it
         self._revision = 1
         self._objects: dict[tuple[str, str], StoredObject] = {}
         self._history: list[tuple[int, Change]] = []
@@ -81,6 +93,11 @@
                 self._revision, dict(self._objects), tuple(self._history)
             )
 
+    def restore_unseen(self, copy: Copy) -> None:
+        """Go back to an earlier state without cutting the watches."""
+        self._watched_era = self.era + 1
+        self.restore(copy)
+
     def restore(self, copy: Copy) -> None:
         """Go back to an earlier state, which begins a new era."""
         with self._changed:
@@ -131,6 +148,8 @@
         era = self.era
         while waited_s < wait_s:
             with self._changed:
+                if self._watched_era == self.era:
+                    era = self.era
                 if self.away or self.era != era:
                     return Err(AWAY)
                 if self.lose_next:
--- a/tests/forwarding/test_store_view.py
+++ b/tests/forwarding/test_store_view.py
@@ -2,8 +2,9 @@
 
 import json
 
+from tests.fakes.object_store import make_store_view
 from wigeonfall.forwarding import internal_pages
-from wigeonfall.forwarding.store_view import StoreView
+from wigeonfall.forwarding.store_position import Position
 from wigeonfall.ports.objects import Change
 from wigeonfall.ports.objects import Changes
 from wigeonfall.ports.objects import Listing
@@ -17,7 +18,7 @@
         changed.append(kind)
         return True
 
-    return StoreView(('k', 'l'), on_change), changed
+    return make_store_view(('k', 'l'), on_change), changed
 
 
 def stored(name, version, value=None):
@@ -35,7 +36,7 @@
     removed = Change(stored('a', 3), True)
     view.apply_changes('k', Changes((added, removed), 11))
     assert names(view) == {'b'}
-    assert view.revisions() == {'k': 11, 'l': 0}
+    assert view.positions() == {'k': Position(0, 11), 'l': Position()}
     assert changed == ['k', 'k']
 
 
@@ -65,13 +66,13 @@
 def test_only_relevant_changes_are_advertised_to_peers():
     """Targets update their entries several times a second."""
     relevant = [True, False, True]
-    view = StoreView(('k',), lambda _kind: relevant.pop(0))
+    view = make_store_view(('k',), lambda _kind: relevant.pop(0))
     view.apply_listing('k', Listing((stored('a', 3),), 9))
-    assert view.advertised_revisions() == {'k': 3}
+    assert view.advertised_positions() == {'k': Position(0, 3)}
     for version in (10, 11):
         change = Change(stored('a', version, {'n': version}), False)
         view.apply_changes('k', Changes((change,), version))
-    assert view.advertised_revisions() == {'k': 11}
+    assert view.advertised_positions() == {'k': Position(0, 11)}
     assert relevant == []
 
 
@@ -81,7 +82,7 @@
     view.apply_listing('l', Listing((stored('b', 4),), 9))
     other, _ = make_view()
     assert other.apply_snapshot(view.snapshot(('l',))) == ['l']
-    assert other.revisions() == {'k': 0, 'l': 4}
+    assert other.positions() == {'k': Position(), 'l': Position(0, 4)}
 
 
 def test_snapshot_pages_follow_all_updates_of_the_objects():
--- a/tests/forwarding/test_store_watcher.py
+++ b/tests/forwarding/test_store_watcher.py
@@ -3,8 +3,8 @@
 import threading
 import time
 
+from tests.fakes.object_store import make_store_view
 from tests.fakes.object_store import MemoryObjects
-from wigeonfall.forwarding.store_view import StoreView
 from wigeonfall.forwarding import store_watcher
 
 
@@ -13,7 +13,7 @@
 
     def __init__(self, settle_s=0.0):
         self.store = MemoryObjects()
-        self.view = StoreView(('k',), lambda _kind: True)
+        self.view = make_store_view(('k',))
         self.reachable = []
         self.enabled = True
         self.settle_s = settle_s
@@ -122,3 +122,18 @@
         watch.wait_for({'a'})
     finally:
         watch.stopping.set()
+
+
+def test_a_watch_that_goes_on_in_another_era_lists_again():
+    """Revisions had passed its own by then, so that it was not refused."""
+    watch = _Watch()
+    try:
+        copy = watch.store.copy()
+        watch.store.put('k', 'a', {})
+        watch.wait_for({'a'})
+        watch.store.restore_unseen(copy)
+        watch.store.put('k', 'b', {})
+        watch.store.put('k', 'c', {})
+        watch.wait_for({'b', 'c'})
+    finally:
+        watch.stopping.set()
--- a/wigeonfall/events.py
+++ b/wigeonfall/events.py
@@ -100,6 +100,8 @@
     CLIENT_DROPPED = (712, logging.WARNING, 'slots of silent peer released')
     REGISTRATION_FAILED = (710, logging.WARNING, 'instance not registered')
     STORE_RESTORED = (714, logging.WARNING, 'store restored from older copy')
+    OBJECTS_LOST = (715, logging.WARNING, 'objects lost by restored store')
+    OBJECT_WRITTEN_AGAIN = (716, logging.INFO, 'lost object written again')
     TOPIC_UNREADABLE = (705, logging.WARNING, 'topic state unreadable')
 
     def __init__(self, number: int, level: int, message: str) -> None:
--- a/wigeonfall/explain.py
+++ b/wigeonfall/explain.py
@@ -33,6 +33,8 @@
         Event.WATCH_REGAINED,
         Event.SNAPSHOT_LOADED,
         Event.STORE_RESTORED,
+        Event.OBJECTS_LOST,
+        Event.OBJECT_WRITTEN_AGAIN,
         Event.VERSION_EVALUATED,
         Event.PEER_UNREACHABLE,
         Event.PEER_REACHABLE,
--- a/wigeonfall/forwarding/cluster_state.py
+++ b/wigeonfall/forwarding/cluster_state.py
@@ -45,7 +45,9 @@
             adapter.targets_kind,
             adapter.orders_kind,
         )
-        self.view = StoreView(kinds, self._on_change)
+        self.view = StoreView(
+            kinds, self._on_change, adapter.writer_version, record
+        )
         self.routing_index: routing.RoutingIndex | None = None
         self.target_names: dict[str, tuple[str, ...]] = {}
         self._adapter = adapter
@@ -96,11 +98,14 @@
                 added=sorted(current - previous),
                 removed=sorted(previous - current),
                 targets=len(current),
-                revision=self.view.revisions()[self._adapter.targets_kind],
+                revision=self._targets_revision(),
             )
         self.target_names = names
         self._balancer.set_targets(usable)
 
+    def _targets_revision(self) -> int:
+        return self.view.positions()[self._adapter.targets_kind].revision
+
     def _on_change(self, kind: str) -> bool:
         """Decode a changed kind; return whether peers need the change."""
         adapter = self._adapter
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -113,6 +113,7 @@
             connections=self._connections,
             data_center=settings.instance.data_center,
             watches_store=lambda: self._watches,
+            store_reachable=lambda: self._cluster_state.store_reachable,
             record=record,
         )
         self._states = StateExchange(
@@ -182,7 +183,7 @@
 
             return call
 
-        for kind in self._cluster_state.view.revisions():
+        for kind in self._cluster_state.view.kinds():
             store_watcher.start(
                 store_watcher.StoreWatcher(
                     kind=kind,
--- a/wigeonfall/forwarding/internal_pages.py
+++ b/wigeonfall/forwarding/internal_pages.py
@@ -58,7 +58,7 @@
 
         return answer
 
-    pages = {snapshot_path(kind): page(kind) for kind in view.revisions()}
+    pages = {snapshot_path(kind): page(kind) for kind in view.kinds()}
     pages[SNAPSHOT_PATH] = page()
     return pages
 
--- a/wigeonfall/forwarding/peer_state.py
+++ b/wigeonfall/forwarding/peer_state.py
@@ -26,7 +26,8 @@
         age_s: time since its start.
         taken: tokens charged since its start by customer.
         used: tokens charged in the last window by customer.
-        revisions: newest known store revision by kind of object.
+        revisions: newest known position in the store's history by kind of
+            object, as store_position encodes it.
         peers: addresses of its live peers.
         data_center: its data centre.
         capacity: processors that it may use.
--- a/wigeonfall/forwarding/platform_adapter.py
+++ b/wigeonfall/forwarding/platform_adapter.py
@@ -30,6 +30,8 @@
         decode_order: decodes an order; raises ValueError.
         encode_order: encodes the status of an order in a state.
         instances_kind: kind of the entries of instances.
+        writer_version: returns the version of an object by its writer's
+            count, 0 if the writer counts none.
         ready_path: path of the health check of the external load balancer.
     """
 
@@ -44,4 +46,5 @@
     decode_order: Callable[[StoredObject], Order]
     encode_order: Callable[[Order, State], dict[str, Any]]
     instances_kind: str
+    writer_version: Callable[[StoredObject], int]
     ready_path: bytes
--- a/wigeonfall/forwarding/snapshot_sync.py
+++ b/wigeonfall/forwarding/snapshot_sync.py
@@ -14,6 +14,7 @@
 from ..events import Event
 from . import internal_pages
 from ..recorder import Record
+from . import store_position
 from .exchange import ConnectionPool
 from .exchange import ExchangeError
 from .peer_state import PeerState
@@ -35,6 +36,7 @@
         connections: HTTP connections to peers.
         data_center: data centre of this instance.
         watches_store: returns whether this instance watches the store.
+        store_reachable: returns whether its watches work.
         record: records events.
     """
 
@@ -43,6 +45,7 @@
     connections: ConnectionPool
     data_center: str
     watches_store: Callable[[], bool]
+    store_reachable: Callable[[], bool]
     record: Record
 
 
@@ -73,25 +76,41 @@
 def _peers_ahead(
     context: SnapshotSyncContext, now_s: float
 ) -> list[PeerState]:
-    """Return the states of peers with a newer revision of any kind."""
-    revisions = context.view.revisions()
+    """Return the states of peers that have something newer of any kind."""
+    states = [peer.state for peer in context.peers.live(now_s)]
+    ahead = [state for state in states if _kinds_ahead(context, state)]
+    with_eras = [state for state in states if _tells_eras(context, state)]
+    watches = context.watches_store() and context.store_reachable()
+    if with_eras or (watches and _knows_eras(context)):
+        # A peer without eras may tell revisions of one that has ended.
+        return [state for state in ahead if state in with_eras]
+    return ahead
+
+
+def _knows_eras(context: SnapshotSyncContext) -> bool:
+    return any(p.era for p in context.view.positions().values())
+
+
+def _tells_eras(context: SnapshotSyncContext, state: PeerState) -> bool:
+    return any(
+        store_position.decode(state.revisions, kind).era
+        for kind in context.view.kinds()
+    )
+
+
+def _kinds_ahead(context: SnapshotSyncContext, state: PeerState) -> list[str]:
+    """Return the kinds of which a peer has something newer."""
     return [
-        peer.state
-        for peer in context.peers.live(now_s)
-        if any(
-            peer.state.revisions.get(kind, 0) > revision
-            for kind, revision in revisions.items()
+        kind
+        for kind in context.view.kinds()
+        if context.view.is_behind(
+            kind, store_position.decode(state.revisions, kind)
         )
     ]
 
 
 async def _fetch(context: SnapshotSyncContext, state: PeerState) -> None:
-    revisions = context.view.revisions()
-    behind = [
-        kind
-        for kind, revision in revisions.items()
-        if state.revisions.get(kind, 0) > revision
-    ]
+    behind = _kinds_ahead(context, state)
     path = internal_pages.SNAPSHOT_PATH
     if len(behind) == 1:
         path = internal_pages.snapshot_path(behind[0])
@@ -110,5 +129,5 @@
             Event.SNAPSHOT_LOADED,
             peer=state.name,
             kinds=kinds,
-            revisions=context.view.revisions(),
+            revisions=store_position.encode(context.view.positions()),
         )
--- a/wigeonfall/forwarding/state_exchange.py
+++ b/wigeonfall/forwarding/state_exchange.py
@@ -12,6 +12,7 @@
 from ..policy import token_quota
 from ..policy.token_quota import TokenQuotas
 from ..policy.version_trial import Evidence
+from . import store_position
 from .cluster_state import ClusterState
 from .peer_state import PeerState
 from .peers import Peers
@@ -104,6 +105,7 @@
         }
 
     def _advertised_revisions(self, now_s: float) -> dict[str, int]:
+        view = self.cluster_state.view
         if self.topology.uses_hubs(now_s):
-            return self.cluster_state.view.advertised_revisions()
-        return self.cluster_state.view.revisions()
+            return store_position.encode(view.advertised_positions())
+        return store_position.encode(view.positions())
--- a/wigeonfall/forwarding/store_view.py
+++ b/wigeonfall/forwarding/store_view.py
@@ -2,13 +2,20 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 from typing import Any
 
 import attrs
 
+from ..events import Event
 from ..ports.objects import Changes
 from ..ports.objects import Listing
 from ..ports.platform import StoredObject
+from ..recorder import Record
+from .store_position import Position
+
+# Objects named in an event; an object that is lost is in all later ones too.
+MAX_NAMED_OBJECTS = 20
 
 
 @attrs.define
@@ -17,42 +24,85 @@
 
     Attributes:
         objects: the objects by name.
+        era: era of the store that they are from, 0 if unknown.
         revision: store revision of the newest change in them; 0 before any.
-        advertised_revision: the newest revision that peers should fetch.
+        eraless_revision: newest revision that peers without eras told.
+        advertised: the newest position that peers should fetch.
+        writer_version: newest version of an object by its writer's count.
         update_count: number of listings, changes and snapshots applied.
+        lost: objects that the store lost in a restore and that were not
+            written again yet, with the version that it has of them, 0 for
+            none.
     """
 
     objects: dict[str, StoredObject] = attrs.field(factory=dict)
+    era: int = 0
     revision: int = 0
-    advertised_revision: int = 0
+    eraless_revision: int = 0
+    advertised: Position = Position()
+    writer_version: int = 0
     update_count: int = 0
+    lost: dict[str, int] = attrs.field(factory=dict)
+
+    @property
+    def position(self) -> Position:
+        """The newest known position."""
+        return Position(self.era, self.revision, self.writer_version)
 
 
 class StoreView:
     """The latest known objects of several kinds; not thread-safe.
 
+    An object that is older than the known one by its writer's count is never
+    taken, as a store that was restored has lost what was confirmed.
+
     Args:
         kinds: names of the kinds.
         on_change: called with a kind after each change of it; returns
             whether peers should fetch the change.
+        writer_version: returns the version of an object by its writer's
+            count, 0 if the writer counts none.
+        record: records events.
     """
 
     def __init__(
-        self, kinds: Iterable[str], on_change: Callable[[str], bool]
+        self,
+        kinds: Iterable[str],
+        on_change: Callable[[str], bool],
+        writer_version: Callable[[StoredObject], int],
+        record: Record,
     ) -> None:
         self._kinds = {kind: KindView() for kind in kinds}
         self._on_change = on_change
+        self._writer_version = writer_version
+        self._record = record
 
-    def advertised_revisions(self) -> dict[str, int]:
-        """Return the newest revision of each kind that peers should fetch."""
-        return {
-            kind: view.advertised_revision
-            for kind, view in self._kinds.items()
-        }
+    def kinds(self) -> tuple[str, ...]:
+        """Return the names of the kinds."""
+        return tuple(self._kinds)
+
+    def advertised_positions(self) -> dict[str, Position]:
+        """Return the newest position of each kind that peers should fetch."""
+        return {kind: view.advertised for kind, view in self._kinds.items()}
+
+    def positions(self) -> dict[str, Position]:
+        """Return the newest known position of each kind."""
+        return {kind: view.position for kind, view in self._kinds.items()}
+
+    def era(self, kind: str) -> int:
+        """Return the era of the objects of a kind, 0 if unknown."""
+        return self._kinds[kind].era
 
-    def revisions(self) -> dict[str, int]:
-        """Return the newest known revision of each kind."""
-        return {kind: view.revision for kind, view in self._kinds.items()}
+    def is_behind(self, kind: str, position: Position) -> bool:
+        """Return whether a peer's position has something newer.
+
+        Peers of releases without eras tell their newest revision alone, which
+        may be that of an era which has ended.
+        """
+        view = self._kinds[kind]
+        if position.era or not view.era:
+            return view.position.is_behind(position)
+        return view.eraless_revision < position.revision
 
     def objects(self, kind: str) -> tuple[StoredObject, ...]:
         """Return the objects of a kind."""
@@ -69,20 +119,20 @@
     def apply_listing(self, kind: str, listing: Listing) -> None:
         """Replace the objects of a kind by a listing of the store."""
         view = self._kinds[kind]
-        view.update_count += 1
-        objects = {item.name: item for item in listing.objects}
+        if 0 < listing.era < view.era:
+            return
         newest_version = max(
             (item.version for item in listing.objects), default=1
         )
-        view.revision = max(view.revision, newest_version)
-        unchanged = objects == view.objects
-        view.objects = objects
-        if not unchanged:
+        position = Position(listing.era or view.era, newest_version)
+        if self._replace(kind, listing.objects, position):
             self._notify(kind)
 
     def apply_changes(self, kind: str, changes: Changes) -> None:
         """Apply changes of a kind in the order of the store."""
         view = self._kinds[kind]
+        if changes.era and changes.era != view.era:
+            return
         view.update_count += 1
         for change in changes.changes:
             item = change.object
@@ -90,15 +140,102 @@
                 view.objects.pop(item.name, None)
                 view.revision = max(view.revision, changes.revision)
             else:
-                view.objects[item.name] = item
+                view.objects[item.name] = self._newest(view, item)
                 view.revision = max(view.revision, item.version)
+                self._mark_written(kind, item)
+        view.eraless_revision = max(view.eraless_revision, view.revision)
         if changes.changes:
             self._notify(kind)
 
+    def _replace(
+        self,
+        kind: str,
+        listed: Iterable[StoredObject],
+        position: Position,
+    ) -> bool:
+        """Replace the objects of a kind.
+
+        Args:
+            kind: name of the kind.
+            listed: all objects of the kind.
+            position: where the store was when they were read.
+
+        Returns:
+            Whether an object or the era has changed.
+        """
+        view = self._kinds[kind]
+        view.update_count += 1
+        stored = {item.name: item for item in listed}
+        objects = {
+            name: self._newest(view, item) for name, item in stored.items()
+        }
+        for name, item in view.objects.items():
+            if name not in stored and self._writer_version(item):
+                objects[name] = item
+        begins_era = position.era > view.era
+        if begins_era:
+            self._begin_era(kind, stored, position)
+        else:
+            for item in stored.values():
+                self._mark_written(kind, item)
+        view.revision = max(view.revision, position.revision)
+        view.eraless_revision = max(view.eraless_revision, view.revision)
+        changed = begins_era or objects != view.objects
+        view.objects = objects
+        return changed
+
+    def _begin_era(
+        self, kind: str, stored: Mapping[str, StoredObject], position: Position
+    ) -> None:
+        """Start to count revisions anew, and record what the store lost."""
+        view = self._kinds[kind]
+        if view.era:
+            versions = {name: item.version for name, item in stored.items()}
+            view.lost = {
+                name: versions.get(name, 0)
+                for name, item in view.objects.items()
+                if versions.get(name, 0) < item.version
+            }
+            self._record(
+                Event.OBJECTS_LOST,
+                kind=kind,
+                era=position.era,
+                revision=position.revision,
+                previous_era=view.era,
+                previous_revision=view.revision,
+                objects=sorted(view.lost)[:MAX_NAMED_OBJECTS],
+                lost=len(view.lost),
+            )
+        view.era = position.era
+        view.revision = view.eraless_revision = 0
+
+    def _mark_written(self, kind: str, item: StoredObject) -> None:
+        """Record an event if the store had lost an object."""
+        view = self._kinds[kind]
+        if item.version > view.lost.get(item.name, item.version):
+            del view.lost[item.name]
+            self._record(
+                Event.OBJECT_WRITTEN_AGAIN,
+                kind=kind,
+                object=item.name,
+                version=item.version,
+                missing=len(view.lost),
+            )
+
+    def _newest(self, view: KindView, item: StoredObject) -> StoredObject:
+        """Return an object, or the known one if its writer counts it newer."""
+        version = self._writer_version(item)
+        known = view.objects.get(item.name)
+        if known is not None and self._writer_version(known) > version:
+            return known
+        view.writer_version = max(view.writer_version, version)
+        return item
+
     def _notify(self, kind: str) -> None:
-        if self._on_change(kind):
-            view = self._kinds[kind]
-            view.advertised_revision = view.revision
+        view = self._kinds[kind]
+        era_advertised = view.advertised.era == view.era
+        if self._on_change(kind) or not era_advertised:
+            view.advertised = view.position
 
     def snapshot(self, kinds: Iterable[str] = ()) -> dict[str, Any]:
         """Return the objects of some or all kinds as JSON values.
@@ -109,6 +246,7 @@
         wanted = frozenset(kinds) or self._kinds.keys()
         return {
             kind: {
+                'era': view.era,
                 'revision': view.revision,
                 'objects': [
                     attrs.asdict(item) for item in view.objects.values()
@@ -119,7 +257,7 @@
         }
 
     def apply_snapshot(self, value: dict[str, Any]) -> list[str]:
-        """Replace the kinds for which a peer has a newer revision.
+        """Replace the kinds of which a peer has something newer.
 
         Args:
             value: a snapshot, as JSON values.
@@ -132,15 +270,38 @@
             TypeError: a value of the snapshot has another type.
         """
         replaced = []
-        for kind, view in self._kinds.items():
-            item = value.get(kind)
-            if item is None or item['revision'] <= view.revision:
+        for kind, item in value.items():
+            if kind not in self._kinds:
                 continue
             objects = [StoredObject(**fields) for fields in item['objects']]
-            view.objects = {o.name: o for o in objects}
-            view.revision = item['revision']
-            view.update_count += 1
-            replaced.append(kind)
+            position = Position(item.get('era', 0), item['revision'])
+            if self._apply_peer_objects(kind, objects, position):
+                replaced.append(kind)
         for kind in replaced:
             self._notify(kind)
         return replaced
+
+    def _apply_peer_objects(
+        self, kind: str, objects: list[StoredObject], position: Position
+    ) -> bool:
+        """Apply the objects of a peer; return whether any was newer."""
+        view = self._kinds[kind]
+        if not position.era and view.era:
+            if position.revision <= view.eraless_revision:
+                return False
+            era, revision = view.era, view.revision
+            self._replace(kind, objects, Position(era, revision))
+            view.eraless_revision = position.revision
+            return True
+        if view.position.precedes(position):
+            self._replace(kind, objects, position)
+            return True
+        newer = {
+            item.name: item
+            for item in objects
+            if self._writer_version(item) > view.writer_version
+        }
+        for item in newer.values():
+            view.objects[item.name] = self._newest(view, item)
+        view.update_count += bool(newer)
+        return bool(newer)
--- a/wigeonfall/forwarding/store_watcher.py
+++ b/wigeonfall/forwarding/store_watcher.py
@@ -122,20 +122,20 @@
 
 
 def _record_restore(
-    watcher: StoreWatcher, progress: _Progress, answer: Listing | Changes
+    watcher: StoreWatcher, progress: _Progress, listing: Listing
 ) -> None:
     """Record an event if the era of the store has changed."""
-    if 0 < progress.era < answer.era:
+    if 0 < progress.era < listing.era:
         watcher.record(
             Event.STORE_RESTORED,
             kind=watcher.kind,
-            era=answer.era,
-            revision=answer.revision,
+            era=listing.era,
+            revision=listing.revision,
             previous_era=progress.era,
             previous_revision=progress.revision,
         )
-    progress.era = max(progress.era, answer.era)
-    progress.revision = answer.revision
+    progress.era = max(progress.era, listing.era)
+    progress.revision = listing.revision
 
 
 def _watch(
@@ -149,6 +149,9 @@
         # Changes may be lost with the connection, so list all again.
         return None, error.message
     changes = outcome.ok_value
-    _record_restore(watcher, progress, changes)
+    if changes.era != progress.era:
+        # The revision that the watch began at is not one of this era.
+        return None, None
+    progress.revision = changes.revision
     watcher.on_changes(watcher.kind, changes)
     return changes.revision, None
