Keep what is known of targets when the store is restored

Callers' requests went to targets that were gone or leaving, and targets that had registered within the age of the copy got none until they wrote again. Cause: entries of a restored store counted as new ones, an entry that it lost as a departure.

--- a/wigeonfall/forwarding/cluster_state.py
+++ b/wigeonfall/forwarding/cluster_state.py
@@ -114,7 +114,7 @@
             self._update_table()
         elif kind == adapter.targets_kind:
             targets = tuple(self._decode_all(kind, adapter.decode_target))
-            self._targets.update(targets, now_s)
+            self._targets.update(targets, now_s, self.view.era(kind))
             self.refresh_targets()
             previous, self._listed_targets = (
                 self._listed_targets,
