Keep rollout orders and verdicts when the store is restored

With a restored store, an order that it had lost ended its trial: a version that had been found bad got requests by chance again, and one to which all had moved was replaced by the order before it, whose targets had stopped. Cause: orders were taken as the store has them, in any era.

--- a/tests/forwarding/test_rollouts.py
+++ b/tests/forwarding/test_rollouts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import attrs
 from result import Ok
 
 from tests.policy.test_load_balancer import make_balancer
@@ -23,7 +24,9 @@
         return Ok(entry)
 
 
-def make_rollouts(store, seen_s, may_report=True, knows_load=True):
+def make_rollouts(
+    store, seen_s, may_report=True, knows_load=True, stored=None
+):
     trials = make_trials()
     trials.set_orders([], 0.0)
     trials.set_orders([make_order()], seen_s)
@@ -33,6 +36,7 @@
         balancer=make_balancer('a'),
         store=lambda: store,
         entries=lambda: (StoredObject('rollouts', 's', {}, 1),),
+        decode=lambda _entry: stored or make_order(),
         encode=lambda _order, state: {'State': state.value},
         may_report=lambda: may_report,
         knows_load=lambda: knows_load,
@@ -83,3 +87,12 @@
         monkeypatch.setattr('time.monotonic', lambda now_s=now_s: now_s)
         decide(rollouts)
     assert store.reported == [{'State': State.COMPLETED.value}]
+
+
+def test_no_verdict_is_stored_for_the_order_before_it(monkeypatch):
+    """A restored store had that one instead, with a status of its own."""
+    monkeypatch.setattr('time.monotonic', lambda: 11.9)
+    store = Store()
+    before = attrs.evolve(make_order(), version='v1')
+    decide(make_rollouts(store, 0.0, stored=before))
+    assert store.reported == []
--- a/wigeonfall/forwarding/cluster_state.py
+++ b/wigeonfall/forwarding/cluster_state.py
@@ -7,6 +7,7 @@
 from ..events import Event
 from ..model.target import Target
 from ..policy.load_balancer import LoadBalancer
+from ..policy.restored_orders import RestoredOrders
 from ..policy import routing
 from ..policy.target_view import TargetView
 from ..policy.version_trial import Trials
@@ -55,6 +56,7 @@
         self._trials = trials
         self._record = record
         self._targets = TargetView()
+        self._orders = RestoredOrders()
         self._listed_targets: frozenset[Target] = frozenset()
         self._reachable = {kind: True for kind in kinds}
 
@@ -79,9 +81,9 @@
         """Set whether targets can renew their entries in the store."""
         self._targets.set_store_reachable(reachable, time.monotonic())
 
-    def refresh_targets(self) -> None:
+    def _refresh_targets(self, now_s: float) -> None:
         """Update the load balancer with the targets that are usable now."""
-        usable = self._targets.usable(time.monotonic())
+        usable = self._targets.usable(now_s)
         names: dict[str, tuple[str, ...]] = {}
         for target in usable:
             names[target.service] = (
@@ -103,6 +105,16 @@
         self.target_names = names
         self._balancer.set_targets(usable)
 
+    def refresh(self, now_s: float) -> None:
+        """Apply what has changed by the passage of time.
+
+        Args:
+            now_s: present time on the monotonic clock.
+        """
+        self._refresh_targets(now_s)
+        if self._orders.has_expired(now_s):
+            self._trials.set_orders(self._orders.in_force(now_s), now_s)
+
     def _targets_revision(self) -> int:
         return self.view.positions()[self._adapter.targets_kind].revision
 
@@ -115,7 +127,7 @@
         elif kind == adapter.targets_kind:
             targets = tuple(self._decode_all(kind, adapter.decode_target))
             self._targets.update(targets, now_s, self.view.era(kind))
-            self.refresh_targets()
+            self._refresh_targets(now_s)
             previous, self._listed_targets = (
                 self._listed_targets,
                 frozenset(targets),
@@ -123,7 +135,10 @@
             return previous != self._listed_targets
         else:
             orders = self._decode_all(kind, adapter.decode_order)
-            self._trials.set_orders(orders, now_s)
+            era = self.view.era(kind)
+            self._trials.set_orders(
+                self._orders.update(orders, now_s, era), now_s
+            )
         return True
 
     def _update_table(self) -> None:
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -102,6 +102,7 @@
             entries=lambda: self._cluster_state.view.objects(
                 adapter.orders_kind
             ),
+            decode=adapter.decode_order,
             encode=adapter.encode_order,
             may_report=lambda: self._topology.decides(time.monotonic()),
             knows_load=lambda: self._topology.knows_load(time.monotonic()),
@@ -267,7 +268,7 @@
         self._arbiter.drop_silent_clients(now_s)
         self._peers.drop_silent(now_s)
         self._quotas.keep_peers(self._peers.known_names(now_s))
-        self._cluster_state.refresh_targets()
+        self._cluster_state.refresh(now_s)
         self._balancer.set_peer_loads(self._peers.loads(now_s))
         rates = self._balancer.rates
         rates.keep_peers(self._peers.known_names(now_s))
--- a/wigeonfall/forwarding/rollouts.py
+++ b/wigeonfall/forwarding/rollouts.py
@@ -31,6 +31,7 @@
         balancer: load balancer over the targets.
         store: returns the present client of the store.
         entries: returns the stored orders.
+        decode: returns the order of a stored entry; raises ValueError.
         encode: returns the stored status of an order in a state.
         may_report: returns whether this instance stores verdicts.
         knows_load: returns whether it knows the load of all instances.
@@ -41,6 +42,7 @@
     balancer: LoadBalancer
     store: Callable[[], ObjectStore]
     entries: Callable[[], tuple[StoredObject, ...]]
+    decode: Callable[[StoredObject], Order]
     encode: Callable[[Order, State], dict[str, Any]]
     may_report: Callable[[], bool]
     knows_load: Callable[[], bool]
@@ -97,9 +99,7 @@
                 version=order.version,
                 **self.trials.summary(order),
             )
-        entry = next(
-            (item for item in self.entries() if item.name == order.name), None
-        )
+        entry = self._entry(order)
         if verdict is None or entry is None or not self.may_report():
             return
         entry = attrs.evolve(entry, status=self.encode(order, verdict))
@@ -115,6 +115,22 @@
             **self.trials.summary(order),
         )
 
+    def _entry(self, order: Order) -> StoredObject | None:
+        """Return the stored entry of an order.
+
+        A store that was restored may have that of an earlier one instead.
+        """
+        for item in self.entries():
+            if item.name != order.name:
+                continue
+            try:
+                stored = self.decode(item)
+            except ValueError:
+                # Recorded when the entry arrived.
+                return None
+            return item if stored.version == order.version else None
+        return None
+
     def _old_versions_busy(self, order: Order) -> bool:
         """Return whether a request may run at a target of another version.
 
