Register again at once when a restored store lost the entry

Instances that started after a restore found only those of the others that were in the copy, until these looked for their own entries again up to 15 s later. Cause: an entry that was once written was taken for written in any era, and looked for by a read that may be stale. Evidence: the test of the five instances fails on the code before (no entry after five seconds). Change: when an instance hears of a new era, from the store or from peers, it lists its kind afresh and writes its entry if it is missing; hundreds of instances spread this over seconds.

--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -1,14 +1,11 @@
 """Assembles the components of an instance and connects them."""
 
 import asyncio
-from collections.abc import Callable
 from collections.abc import Coroutine
-import functools
 import threading
 import time
 from typing import Any
 
-
 from . import call_handler
 from . import customer_quotas
 from ..events import Event
@@ -21,11 +18,10 @@
 from ..policy import token_quota
 from ..policy.version_trial import Trials
 from ..recorder import Record
-from . import registration
 from . import resend_budgets
 from . import slot_client
 from . import snapshot_sync
-from . import store_watcher
+from . import store_threads
 from .arbiter import Arbiter
 from .arbiter_messages import ArbiterDecisions
 from .arbiter_messages import ClientState
@@ -176,44 +172,17 @@
         self, loop: asyncio.AbstractEventLoop, stopping: threading.Event
     ) -> None:
         """Start the threads that watch the store and register in it."""
-
-        def call_in_loop(function: Callable[..., None]) -> Callable[..., None]:
-            def call(*values: Any) -> None:
-                if not stopping.is_set():
-                    loop.call_soon_threadsafe(function, *values)
-
-            return call
-
-        for kind in self._cluster_state.view.kinds():
-            store_watcher.start(
-                store_watcher.StoreWatcher(
-                    kind=kind,
-                    get_store=lambda: self._store,
-                    on_listing=call_in_loop(
-                        self._cluster_state.view.apply_listing
-                    ),
-                    on_changes=call_in_loop(
-                        self._cluster_state.view.apply_changes
-                    ),
-                    on_reachable=self._reachable_callback(kind, call_in_loop),
-                    is_enabled=lambda: self._watches,
-                    settle_s=lambda: self._topology.settle_s(time.monotonic()),
-                    record=self.record,
-                    stopping=stopping,
-                )
-            )
-        registration.start(
-            registration.Registration(
-                kind=self.adapter.instances_kind,
-                name=self._settings.instance.name,
-                address=self._settings.listen.peers_address,
-                data_center=self._settings.instance.data_center,
-                get_store=lambda: self._store,
-                on_addresses=call_in_loop(self._on_registered),
-                record=self.record,
-                stopping=stopping,
-            )
+        threads = store_threads.StoreThreads(
+            adapter=self.adapter,
+            settings=self._settings,
+            get_store=lambda: self._store,
+            cluster_state=self._cluster_state,
+            topology=self._topology,
+            peers=self._peers,
+            watches_store=lambda: self._watches,
+            record=self.record,
         )
+        store_threads.start(threads, loop, stopping)
 
     async def handle(self, call: Call, reply: Reply) -> None:
         """Handle a request; an internal error aborts its answer."""
@@ -348,20 +317,6 @@
         """Record that a target's address now belongs to another target."""
         self._balancer.record_broken_connection(target.name, time.monotonic())
 
-    def _reachable_callback(
-        self, kind: str, call_in_loop: Callable[..., Callable[..., None]]
-    ) -> Callable[[bool], None]:
-        set_reachable = functools.partial(
-            self._cluster_state.set_store_reachable, kind
-        )
-        callback: Callable[[bool], None] = call_in_loop(set_reachable)
-        return callback
-
-    def _on_registered(self, addresses: tuple[str, ...]) -> None:
-        # The first listing may be older than the entry of this instance.
-        self._topology.registered_count = max(1, len(addresses))
-        self._peers.add_addresses(addresses)
-
     def _on_load_change(self) -> None:
         self._link.send_soon()
 
--- a/wigeonfall/forwarding/store_view.py
+++ b/wigeonfall/forwarding/store_view.py
@@ -93,6 +93,10 @@
         """Return the era of the objects of a kind, 0 if unknown."""
         return self._kinds[kind].era
 
+    def newest_era(self) -> int:
+        """Return the newest known era of the store, 0 if unknown."""
+        return max(view.era for view in self._kinds.values())
+
     def is_behind(self, kind: str, position: Position) -> bool:
         """Return whether a peer's position has something newer.
 
