Take only event streams as the rest of a begun stream

After a stream had begun and broken off, callers got text of the next target's answer in the middle of it, or the stream ended as if it were complete. Cause: every success of the next target was read as events, whatever its type, and one without any event ended the stream. Change: what goes on a begun stream has to be an event stream, and one without events needs a proven end.

--- a/wigeonfall/forwarding/relaying.py
+++ b/wigeonfall/forwarding/relaying.py
@@ -266,6 +266,10 @@
 ) -> AttemptResult:
     splitter = relay.splitter
     splitter.discard_partial_event()
+    if relay.started and not head.is_event_stream:
+        return AttemptResult(
+            AttemptOutcome.BROKEN, head.status, 'answer is no event stream'
+        )
     events_before = splitter.event_count
     first_s = 0.0
     longest_pause_s = 0.0
@@ -313,7 +317,10 @@
             relay.started = True
             relay.reply.start(head.status, caller_headers(head.headers), None)
         await relay.reply.write(whole)
-    if splitter.partial_event or not relay.started:
+    # Without events or a proven end, the target may have crashed at once.
+    empty = splitter.event_count == events_before
+    unproven = empty and not sent.exchange.framed
+    if splitter.partial_event or not relay.started or unproven:
         return AttemptResult(
             AttemptOutcome.BROKEN,
             head.status,
--- a/wigeonfall/forwarding/target_connection.py
+++ b/wigeonfall/forwarding/target_connection.py
@@ -39,6 +39,12 @@
         """Return the value of the first header of a name, or b''."""
         return next((v for n, v in self.headers if n == name), b'')
 
+    @property
+    def is_event_stream(self) -> bool:
+        """Whether the body is a stream of server-sent events."""
+        media_type = self.header(b'content-type').partition(b';')[0]
+        return media_type.strip().lower() == b'text/event-stream'
+
 
 class Response:
     """An answer that is being received."""
