Test the path of calls by thread against spoilt answers

Cause: operators of similar systems met repeated refusals, errors within streams and answers cut within their head. Change: tests of the client of targets and of the relay; no code. Result: all hold: an attempt has an identifier of its own that is echoed, only events of the request are relayed, and a head that is not whole is a broken answer.

--- a/tests/adapters/test_targets.py
+++ b/tests/adapters/test_targets.py
@@ -226,3 +226,51 @@
         _attempt(_serve(_head(100)), method='HEAD', body=b'')
     )
     assert _read(opened) == b''
+
+
+def _refusal(attempt_id):
+    return (
+        f'HTTP/1.1 503 Full\r\nX-Attempt-Id: {attempt_id}\r\n'
+        'X-Run: not-run\r\nContent-Length: 0\r\n\r\n'
+    ).encode()
+
+
+def _serve_twice(first, second):
+    """Answer two requests on one connection; return address and count."""
+    listener = socket.create_server(('127.0.0.1', 0))
+    served = []
+
+    def run():
+        connection, _ = listener.accept()
+        with connection:
+            for answer in (first, second):
+                served.append(_receive_request(connection))
+                connection.sendall(answer)
+
+    threading.Thread(target=run, daemon=True).start()
+    return f'127.0.0.1:{listener.getsockname()[1]}', served
+
+
+def test_repeated_refusal_of_an_earlier_attempt_does_not_refuse_the_next():
+    """Callers were told "not run" of requests that a target was running."""
+    answer = _head(2, 'a2') + b'ok'
+    address, served = _serve_twice(_head(2) + b'ok', _refusal('a1') + answer)
+    made = targets_adapter.make_targets()
+    assert _read(made.open(_attempt(address))) == b'ok'
+    opened = made.open(_attempt(address, id='a2'))
+    assert len(served) == 2
+    assert opened.err_value.kind is port.AttemptErrorKind.WRONG_ATTEMPT
+    assert opened.err_value.may_have_run
+
+
+WHOLE_HEAD = _head(2)
+
+
+@pytest.mark.parametrize('kept', range(len(WHOLE_HEAD)))
+def test_answer_that_ends_within_its_head_is_broken(kept: int) -> None:
+    """Such an answer passed for an empty one that is whole."""
+    opened = targets_adapter.make_targets().open(
+        _attempt(_serve(WHOLE_HEAD[:kept]))
+    )
+    assert opened.err_value.kind is port.AttemptErrorKind.BROKEN
+    assert opened.err_value.may_have_run
--- a/tests/serving/test_relay.py
+++ b/tests/serving/test_relay.py
@@ -2,6 +2,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+import pytest
 from result import Err
 from result import Ok
 
@@ -157,3 +158,23 @@
                 pass
         reported.append(targets.reported)
     assert reported == [[512, 'paced'], [None, 'paced'], []]
+
+
+@pytest.mark.parametrize('status', [204, 206, 400, 404, 429, 500, 503])
+def test_error_of_the_next_target_does_not_get_into_a_begun_stream(status):
+    """Its text came in the middle, or the stream ended as if complete."""
+    text = b'<html>\n\noverloaded\n\n</html>\n\n' + DONE
+    broken = AttemptError(AttemptErrorKind.BROKEN, 'planned')
+    scripts = [memory_targets.Script(chunks=(EVENTS[0],), read_error=broken)]
+    targets = memory_targets.MemoryTargets(
+        lambda _: (
+            scripts.pop()
+            if scripts
+            else memory_targets.Script(chunks=(text,), status=status)
+        )
+    )
+    received = b''.join(_stream(targets, retries=2))
+    answer, marker, refusal = received.partition(b'event: error\n')
+    assert answer == EVENTS[0]
+    assert marker and DONE not in refusal and b'html' not in refusal
+    assert b'"run": "unknown"' in refusal
