Restore the store from older copies in the soak

The soak never took back what the store had acknowledged, nor looked at whether instances follow changes once all is healed. Change: a lane of its own restores copies up to two seconds old, so that the other lanes keep their sequences, and operators and targets write again; at the end each instance has to have the newest table in force.

--- a/tests/fakes/object_store.py
+++ b/tests/fakes/object_store.py
@@ -75,6 +75,12 @@
             self._history.append((self._revision, Change(gone, True)))
             self._changed.notify_all()
 
+    def discard(self, kind, name):
+        """Remove an object if there is one."""
+        with self._changed:
+            if (kind, name) in self._objects:
+                self.remove(kind, name)
+
     def get(self, kind, name):
         """Return an object, or None."""
         return self._objects.get((kind, name))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -16,6 +16,7 @@
 from tests.soak.callers import HOST
 from tests.soak.callers import Target
 from tests.soak.promises import Promises
+from wigeonfall.events import Event
 
 MODES = ('errors', 'resets', 'hangs', 'refuses', 'cuts')
 FAULT_S = (0.2, 2.0)
@@ -72,6 +73,7 @@
         self._target_links: list[TcpProxy] = []
         self._instances: list[Instance] = []
         self._version = 1
+        self._lapsed: set[int] = set()
 
     async def run(self) -> None:
         """Serve with faults, heal, and see that all serve again."""
@@ -160,6 +162,7 @@
             *(self._instance_lane(i) for i in self._instances),
             *(self._target_lane(n) for n in range(self.plan.targets)),
             self._store_lane(),
+            self._restore_lane(),
         ]
         until_s = time.monotonic() + self.plan.duration_s
         tasks = [asyncio.create_task(c.run(stopping)) for c in callers]
@@ -222,8 +225,14 @@
             return cause
 
         def lapse() -> Undo:
-            self._store.objects.remove('servers', f'e{number}')
-            return lambda: self._list_target(number)
+            self._lapsed.add(number)
+            self._store.objects.discard('servers', f'e{number}')
+
+            def undo() -> None:
+                self._lapsed.remove(number)
+                self._list_target(number)
+
+            return undo
 
         return f'e{number}', (
             *((mode, set_mode(mode)) for mode in MODES),
@@ -249,7 +258,7 @@
 
         def spoil() -> Undo:
             objects.put('servers', 'odd', {'Address': 7})
-            return lambda: objects.remove('servers', 'odd')
+            return lambda: objects.discard('servers', 'odd')
 
         return 'store', (
             ('away', away),
@@ -258,6 +267,27 @@
             ('spoil', spoil),
         )
 
+    def _restore_lane(self) -> tuple[str, tuple]:
+        objects = self._store.objects
+
+        def restore() -> Undo:
+            copy = objects.copy()
+
+            def undo() -> None:
+                objects.restore(copy)
+                self._write_again()
+
+            return undo
+
+        return 'restores', (('restore', restore),)
+
+    def _write_again(self) -> None:
+        """Write what the store may have lost, as operators and targets do."""
+        self._store.objects.put('config', 'main', self._manifest())
+        for number in range(self.plan.targets):
+            if number not in self._lapsed:
+                self._list_target(number)
+
     async def _restart(self, instance: Instance) -> None:
         try:
             async with asyncio.timeout(10):
@@ -268,7 +298,9 @@
         await instance.__aenter__()
 
     async def _serve_healed(self) -> None:
-        """See that each instance serves each route again."""
+        """See that each instance serves each route and follows changes."""
+        self._version += 1
+        self._store.objects.put('config', 'main', self._manifest())
         until_s = time.monotonic() + HEALED_S
         for instance in self._instances:
             for kind, *_ in ROUTES:
@@ -287,6 +319,21 @@
                     self.seen.broken.append(
                         f'{instance.name} serves no {kind} after the faults'
                     )
+            while self._version not in self._versions(instance):
+                if time.monotonic() > until_s:
+                    self.seen.broken.append(
+                        f'{instance.name} has no version {self._version}'
+                    )
+                    break
+                await asyncio.sleep(0.1)
+
+    def _versions(self, instance: Instance) -> set[int]:
+        """Return the versions of the table that an instance had in force."""
+        return {
+            entry['fields']['version']
+            for entry in instance.events()
+            if entry['event'] == Event.TABLE_IN_FORCE.number
+        }
 
 
 def _link_faults(link: TcpProxy) -> tuple:
