Give the draws of rate limits in replays a seed

Cause: limits of targets let a random part of a request pass, from a generator without seed, so that each run was another replay. Change: the draws follow the seed of the replay; the bound is as before.

--- a/tests/policy/overload.py
+++ b/tests/policy/overload.py
@@ -15,6 +15,7 @@
 from wigeonfall.model.target import Target
 from wigeonfall.policy.load_balancer import LoadBalancer
 from wigeonfall.policy import patience
+from wigeonfall.policy.target_rates import TargetRates
 from wigeonfall.policy.target_stats import RequestSize
 from wigeonfall.policy.waiting import PendingRequest
 from wigeonfall.policy.waiting import RequestQueue
@@ -148,6 +149,7 @@
     def __init__(self, targets: int, slots: int, seed: int) -> None:
         self.random = random.Random(seed)
         self.balancer = LoadBalancer('dc')
+        self.balancer.rates = TargetRates(random.Random(seed).random)
         self._targets = [
             Target(f't{n}', 's', 'dc', f'10.0.0.{n}:1', slots=slots)
             for n in range(targets)
