Doubt a lease that an earlier term names after a restore

Two instances could hold the control lease at once, and its fencing token went back, when the store was restored from a copy that named an earlier holder: that one found its own name and renewed. Where the lease was lost, any candidate claimed it at once. Cause: what the store says of the lease was taken for the newest, although the reader had seen a later term. Evidence: the three new tests fail on the code before. Change: a lease with a lower token than was seen counts as that of an unknown holder for its duration; the holder whose term lasts writes it again with a new token; a lease that was seen and is missing is treated alike.

--- a/tests/fakes/memory_platform.py
+++ b/tests/fakes/memory_platform.py
@@ -74,6 +74,11 @@
             return _error(port.PlatformErrorKind.UNAVAILABLE, True)
         return Ok(copy.deepcopy(new))
 
+    def restore(self, version: int) -> None:
+        """Go back to the state after a write; versions are given out again."""
+        del self.history[version:]
+        self._objects = {(o.kind, o.name): o for o in self.history}
+
     def delete(self, kind: str, name: str):
         """Remove an object."""
         if not self._up('write'):
--- a/tests/serving/test_leases.py
+++ b/tests/serving/test_leases.py
@@ -91,3 +91,43 @@
     platform.delete(leases.KIND, 'rollouts')
     assert second.refresh(floor=first.fencing)
     assert second.fencing == 2
+
+
+def _restored_after_a_change_of_holder():
+    """Return two candidates; the second holds what the store has lost."""
+    platform, clock, first, second = _pair()
+    first.refresh()
+    version = len(platform.history)
+    second.refresh()
+    clock.now_s = leases.DURATION_S
+    assert second.refresh() and not first.refresh()
+    platform.restore(version)
+    return platform, clock, first, second
+
+
+def test_earlier_holder_does_not_hold_a_restored_lease_beside_the_present():
+    """It found its own name and renewed, with its earlier fencing token."""
+    _, clock, first, second = _restored_after_a_change_of_holder()
+    assert not first.refresh() and second.held()
+    clock.now_s += leases.DURATION_S - 0.1
+    assert not first.refresh() and not second.held()
+    clock.now_s += 0.1
+    assert first.refresh()
+    assert first.fencing == second.fencing + 1
+
+
+def test_present_holder_writes_a_lost_lease_again_with_a_new_token():
+    platform, _, first, second = _restored_after_a_change_of_holder()
+    assert second.refresh() and second.fencing == 3
+    assert platform.get(leases.KIND, 'rollouts').ok_value.value['fencing'] == 3
+    assert not first.refresh()
+
+
+def test_lease_that_a_restored_store_lost_is_free_after_its_duration():
+    platform, clock, first, second = _pair()
+    assert first.refresh() and not second.refresh()
+    platform.restore(0)
+    assert not second.refresh() and first.held()
+    clock.now_s = leases.DURATION_S
+    assert not first.held() and second.refresh()
+    assert second.fencing == first.fencing + 1
--- a/wigeonfall/policy/lease.py
+++ b/wigeonfall/policy/lease.py
@@ -6,6 +6,10 @@
 observed it unchanged for its whole duration on their own clocks. Clocks of
 different processes are never compared: two instances hold a lease at once
 only if their clock rates differ by more than the margin.
+
+A store that was restored from an older copy may name an earlier holder, with
+its fencing token. Whoever has seen a later term takes such a lease for that of
+an unknown holder, until it has been unchanged for its duration.
 """
 
 import attrs
@@ -36,27 +40,40 @@
 
     Attributes:
         lease: the stored lease.
-        version: version of the object in the store.
+        version: version of the object in the store, 0 if it has none.
         since_s: when the reader first observed this version, on its
             monotonic clock.
+        newest_fencing: highest fencing token that the reader has observed.
     """
 
     lease: Lease
     version: int
     since_s: float
+    newest_fencing: int = 0
+
+    @property
+    def outdated(self) -> bool:
+        """Whether the store has lost a later term of the lease."""
+        return self.lease.fencing < self.newest_fencing
 
 
 def observe(
     earlier: ObservedLease | None, lease: Lease, version: int, now_s: float
 ) -> ObservedLease:
     """Return the observation after a read; an unchanged one keeps its time."""
-    if earlier is not None and earlier.version == version:
+    if earlier is None:
+        return ObservedLease(lease, version, now_s, lease.fencing)
+    if (earlier.version, earlier.lease) == (version, lease):
         return earlier
-    return ObservedLease(lease, version, now_s)
+    newest_fencing = max(earlier.newest_fencing, lease.fencing)
+    return ObservedLease(lease, version, now_s, newest_fencing)
 
 
 def may_claim(
-    observed: ObservedLease | None, holder: str, now_s: float
+    observed: ObservedLease | None,
+    holder: str,
+    now_s: float,
+    holds: bool = False,
 ) -> bool:
     """Return whether a candidate may claim the lease.
 
@@ -64,8 +81,11 @@
         observed: the lease as observed, None if there is none.
         holder: name and incarnation of the candidate.
         now_s: present time on the candidate's monotonic clock.
+        holds: whether the term of the candidate still lasts.
     """
-    if observed is None or observed.lease.holder in ('', holder):
+    if observed is None or (holds and observed.outdated):
+        return True
+    if observed.lease.holder in ('', holder) and not observed.outdated:
         return True
     return now_s - observed.since_s >= observed.lease.duration_s
 
@@ -88,9 +108,10 @@
     if observed is None:
         return Lease(holder, floor + 1, duration_s)
     seen = observed.lease
-    if seen.holder == holder:
+    if seen.holder == holder and not observed.outdated:
         return Lease(holder, seen.fencing, duration_s, seen.renewal + 1)
-    return Lease(holder, max(seen.fencing, floor) + 1, duration_s)
+    highest = max(seen.fencing, observed.newest_fencing, floor)
+    return Lease(holder, highest + 1, duration_s)
 
 
 def expiry_s(sent_s: float, duration_s: float) -> float:
--- a/wigeonfall/serving/leases.py
+++ b/wigeonfall/serving/leases.py
@@ -72,7 +72,9 @@
             if not self._read():
                 return self._record_transition()
             observed = self._observed
-            if policy.may_claim(observed, self._holder, self._monotonic()):
+            if policy.may_claim(
+                observed, self._holder, self._monotonic(), self.held()
+            ):
                 self._write(floor)
             return self._record_transition()
 
@@ -99,16 +101,18 @@
         if isinstance(got, Err):
             if got.err_value.kind is not PlatformErrorKind.NOT_FOUND:
                 return False
-            self._observed = None
-            return True
-        stored = got.ok_value
+            if self._observed is None:
+                return True
+            # The store may have lost a lease that is still held.
+            version = 0
+            lease = policy.Lease('', 0, self._duration_s)
+        else:
+            version = got.ok_value.version
+            lease = cattrs.structure(got.ok_value.value, policy.Lease)
         # The clock is read after the store: if an observation were dated too
         # early, two instances could hold the lease at once.
         now_s = self._monotonic()
-        lease = cattrs.structure(stored.value, policy.Lease)
-        self._observed = policy.observe(
-            self._observed, lease, stored.version, now_s
-        )
+        self._observed = policy.observe(self._observed, lease, version, now_s)
         return True
 
     def _write(self, floor: int) -> None:
@@ -118,7 +122,7 @@
             observed, self._holder, self._duration_s, floor
         )
         sent_s = self._monotonic()
-        if observed is None:
+        if observed is None or not observed.version:
             value = cattrs.unstructure(lease)
             written = self._platform.create(KIND, self._name, value)
         else:
@@ -128,8 +132,8 @@
         if isinstance(written, Err):
             return
         version = written.ok_value.version
-        self._observed = policy.ObservedLease(
-            lease, version, self._monotonic()
+        self._observed = policy.observe(
+            observed, lease, version, self._monotonic()
         )
         self._expiry_s = policy.expiry_s(sent_s, self._duration_s)
         self._fencing = lease.fencing
