Read the configuration again after each watch without a change

An instance missed a change of the configuration if the platform had been restored and given its versions out again: the watch went on from a later version, and nothing was newer. Cause: versions of objects were taken to grow for ever. What is in force stays until a newer revision comes, as its number is its operator's.

--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -225,6 +225,8 @@
         wait_s = float(request.query.get('timeoutSeconds', WATCH_TIMEOUT_S))
         ends_s = time.monotonic() + wait_s
         self._counts['watches'] += 1
+        if after > self._version:
+            return _error(410, 'the store was restored since')
         self._counts['watches_waiting'] += 1
         try:
             while not self._items(kind, after).value['items']:
--- a/tests/serving/test_configuration.py
+++ b/tests/serving/test_configuration.py
@@ -21,7 +21,7 @@
 INITIAL = Configuration(0, (), (), ())
 
 
-def _revision(version: int, text: str = '') -> Revision:
+def make_revision(version: int, text: str = '') -> Revision:
     base = f'[tier orders]\nrank = {version}\n' + 100 * '# note\n' + text
     change = Change(version, f'change-{version}', 'ana', 'why', 1000)
     return Revision(Texts(base, {'zac-a': '# overlay\n'}), change)
@@ -37,7 +37,7 @@
     events: list[tuple[Event, dict[str, object]]]
 
 
-def _node(name: str, data_center: str = 'zac-a') -> Node:
+def make_node(name: str, data_center: str = 'zac-a') -> Node:
     events: list[tuple[Event, dict[str, object]]] = []
 
     def record(event: Event, **fields: object) -> None:
@@ -92,17 +92,17 @@
 def test_versions_never_decrease_and_converge(
     actions: list[tuple[str, int, int]],
 ) -> None:
-    nodes = [_node(f'i{number}') for number in range(4)]
+    nodes = [make_node(f'i{number}') for number in range(4)]
     newest = 0
     for kind, first, second in actions:
         before = _version_in_force(nodes[first])
         if kind == 'platform':
-            nodes[first].state.add_revision(_revision(second))
+            nodes[first].state.add_revision(make_revision(second))
         elif kind == 'swap' and first != second:
             _swap(nodes[first], nodes[second])
         elif kind == 'replace':
             others = [n for n in nodes if n is not nodes[first]]
-            nodes[first] = _node(f'i{first}')
+            nodes[first] = make_node(f'i{first}')
             before = 0
             for other in others:
                 _swap(nodes[first], other)
@@ -117,38 +117,38 @@
 
 
 def test_a_new_instance_gets_the_revision_and_confirmation_of_a_peer() -> None:
-    old, new, lonely = _node('old'), _node('new'), _node('lonely')
-    old.state.add_revision(_revision(5))
+    old, new, lonely = make_node('old'), make_node('new'), make_node('lonely')
+    old.state.add_revision(make_revision(5))
     _swap(new, old)
     assert _version_in_force(new) == 5
     assert new.state.confirmed
-    _swap(lonely, _node('other'))
+    _swap(lonely, make_node('other'))
     assert not lonely.state.confirmed
 
 
 def test_a_peer_confirms_that_there_is_no_revision() -> None:
-    confirmed_node, new = _node('a'), _node('b')
+    confirmed_node, new = make_node('a'), make_node('b')
     confirmed_node.state.confirm()
     _swap(new, confirmed_node)
     assert new.state.confirmed
 
 
 def test_a_change_is_sent_as_a_delta_or_whole_without_a_base() -> None:
-    first, second, late = _node('a'), _node('b'), _node('c')
+    first, second, late = make_node('a'), make_node('b'), make_node('c')
     large = ''.join(f'# {n * 7919 % 10007}\n' for n in range(5000))
-    first.state.add_revision(_revision(1, large))
+    first.state.add_revision(make_revision(1, large))
     sizes: list[int] = []
     _swap(second, first, lambda payload: sizes.append(len(payload)))
     whole_bytes = max(sizes)
     _swap(second, first)
-    first.state.add_revision(_revision(2, large))
+    first.state.add_revision(make_revision(2, large))
     sizes.clear()
     _swap(first, second, lambda payload: sizes.append(len(payload)))
     assert second.state.position.version == 2
     assert max(sizes) < whole_bytes / 20
     # The peer restarted without revisions; the sender does not know that yet.
-    empty = _node('b')
-    first.state.add_revision(_revision(3, large))
+    empty = make_node('b')
+    first.state.add_revision(make_revision(3, large))
     try:
         _swap(first, empty)
     except ValueError:
@@ -159,10 +159,10 @@
 
 
 def test_an_invalid_revision_is_passed_on_but_not_put_in_force() -> None:
-    node, peer = _node('a'), _node('b')
-    node.state.add_revision(_revision(1))
+    node, peer = make_node('a'), make_node('b')
+    node.state.add_revision(make_revision(1))
     assert _version_in_force(node) == 1
-    node.state.add_revision(_revision(2, '[unknown]\n'))
+    node.state.add_revision(make_revision(2, '[unknown]\n'))
     assert _version_in_force(node) == 1
     assert node.events[-1][0] is Event.CONFIGURATION_REFUSED
     _swap(peer, node)
@@ -170,9 +170,9 @@
 
 
 def test_reports_are_shared_within_a_data_center() -> None:
-    nodes = [_node(name) for name in 'abc']
-    far = _node('far', 'sal-b')
-    nodes[0].state.add_revision(_revision(4))
+    nodes = [make_node(name) for name in 'abc']
+    far = make_node('far', 'sal-b')
+    nodes[0].state.add_revision(make_revision(4))
     for _ in range(2):
         for node in nodes:
             _swap(node, nodes[0])
--- a/wigeonfall/serving/configuration_loops.py
+++ b/wigeonfall/serving/configuration_loops.py
@@ -130,7 +130,8 @@
     if isinstance(outcome, Err):
         return None
     if outcome.ok_value is None:
-        return known
+        # A restored store gives versions out again, which hides a change.
+        return _read(loops)
     _add_revision(loops, outcome.ok_value)
     return outcome.ok_value
 
