Order stored rollouts by their changes, not by versions of objects

After a restore, an instance ignored changes of a rollout until versions of objects had passed those that it knew, and took an old state for newer once they had. Cause: as in the configuration, versions were taken to grow for ever. Change: a rollout whose changes include the newest known one supersedes it; of two that were parted by a restore, the one with the later change does; versions decide only between states with the same newest change.

--- a/wigeonfall/policy/rollout.py
+++ b/wigeonfall/policy/rollout.py
@@ -309,3 +309,26 @@
     else:
         move = attrs.evolve(move, share=rollout.share)
     return Ok(apply_move(rollout, move, rollout.fencing))
+
+
+def supersedes(rollout: Rollout, known: Rollout) -> bool | None:
+    """Return whether a stored rollout is newer than a known one.
+
+    Versions of objects do not tell that, as a platform that was restored
+    gives them out again.
+
+    Returns:
+        None if both have the same newest change.
+    """
+    if rollout.number != known.number:
+        return rollout.number > known.number
+    if not rollout.moves or not known.moves:
+        return None
+    newest, known_newest = rollout.moves[-1], known.moves[-1]
+    if newest.id == known_newest.id:
+        return None
+    if known_newest.id in {move.id for move in rollout.moves}:
+        return True
+    if newest.id in {move.id for move in known.moves}:
+        return False
+    return newest.at_unix_s > known_newest.at_unix_s
--- a/wigeonfall/serving/rollouts.py
+++ b/wigeonfall/serving/rollouts.py
@@ -212,8 +212,12 @@
     def _apply(self, new: exchange.StoredRollout) -> None:
         service = new.rollout.service
         earlier = self._known.get(service)
-        if earlier is not None and earlier.version >= new.version:
-            return
+        if earlier is not None:
+            newer = policy.supersedes(new.rollout, earlier.rollout)
+            if newer is None:
+                newer = new.version > earlier.version
+            if not newer:
+                return
         self._known[service] = new
         seen = {m.id for m in earlier.rollout.moves} if earlier else set()
         first_seen_ended = earlier is None and new.rollout.phase.final
