Compare the positions of hundreds of peers once each

A hub compares the positions of all peers ten times a second. With eras, a check of 195 peers took 1.9 ms on this machine, 0.2 ms before. Change: peers that tell the same positions are compared once; keys of positions are made once.

--- a/wigeonfall/forwarding/snapshot_sync.py
+++ b/wigeonfall/forwarding/snapshot_sync.py
@@ -77,13 +77,32 @@
     context: SnapshotSyncContext, now_s: float
 ) -> list[PeerState]:
     """Return the states of peers that have something newer of any kind."""
+
+    def tells_eras(state: PeerState) -> bool:
+        return any(
+            store_position.tells_eras(state.revisions, kind)
+            for kind in context.view.kinds()
+        )
+
     states = [peer.state for peer in context.peers.live(now_s)]
-    ahead = [state for state in states if _kinds_ahead(context, state)]
-    with_eras = [state for state in states if _tells_eras(context, state)]
+    # Most of hundreds of peers tell the same positions.
+    told = {tuple(state.revisions.items()): state for state in states}
+    newer = {
+        positions
+        for positions, state in told.items()
+        if _kinds_ahead(context, state)
+    }
+    ahead = [
+        state for state in states if tuple(state.revisions.items()) in newer
+    ]
+    if not ahead:
+        return []
     watches = context.watches_store() and context.store_reachable()
-    if with_eras or (watches and _knows_eras(context)):
+    if (watches and _knows_eras(context)) or any(
+        tells_eras(state) for state in states
+    ):
         # A peer without eras may tell revisions of one that has ended.
-        return [state for state in ahead if state in with_eras]
+        return [state for state in ahead if tells_eras(state)]
     return ahead
 
 
@@ -91,13 +110,6 @@
     return any(p.era for p in context.view.positions().values())
 
 
-def _tells_eras(context: SnapshotSyncContext, state: PeerState) -> bool:
-    return any(
-        store_position.decode(state.revisions, kind).era
-        for kind in context.view.kinds()
-    )
-
-
 def _kinds_ahead(context: SnapshotSyncContext, state: PeerState) -> list[str]:
     """Return the kinds of which a peer has something newer."""
     return [
--- a/wigeonfall/forwarding/store_position.py
+++ b/wigeonfall/forwarding/store_position.py
@@ -7,11 +7,15 @@
 """
 
 from collections.abc import Mapping
+import functools
 
 import attrs
 
-_ERA_SUFFIX = '.era'
-_WRITER_VERSION_SUFFIX = '.version'
+
+@functools.cache
+def _keys(kind: str) -> tuple[str, str]:
+    """Return the keys of the era and the writer's version of a kind."""
+    return f'{kind}.era', f'{kind}.version'
 
 
 @attrs.frozen
@@ -47,18 +51,25 @@
     """
     numbers = {}
     for kind, position in positions.items():
+        era_key, version_key = _keys(kind)
         numbers[kind] = position.revision
         if position.era:
-            numbers[kind + _ERA_SUFFIX] = position.era
+            numbers[era_key] = position.era
         if position.writer_version:
-            numbers[kind + _WRITER_VERSION_SUFFIX] = position.writer_version
+            numbers[version_key] = position.writer_version
     return numbers
 
 
 def decode(numbers: Mapping[str, int], kind: str) -> Position:
     """Return the position of a kind."""
+    era_key, version_key = _keys(kind)
     return Position(
-        numbers.get(kind + _ERA_SUFFIX, 0),
+        numbers.get(era_key, 0),
         numbers.get(kind, 0),
-        numbers.get(kind + _WRITER_VERSION_SUFFIX, 0),
+        numbers.get(version_key, 0),
     )
+
+
+def tells_eras(numbers: Mapping[str, int], kind: str) -> bool:
+    """Return whether a peer tells the era of its revision of a kind."""
+    return _keys(kind)[0] in numbers
