Forget the version of a table that was removed

Cause: found by reading the change: a removed object kept its writer's version in the position of its kind, so that peers would fetch it again and again, and no older one be taken; a watch whose answers carry no era, after a listing that does, would have listed without a pause. Change: the version is that of the objects left; an answer without era counts as of the same.

--- a/tests/forwarding/test_restored_store.py
+++ b/tests/forwarding/test_restored_store.py
@@ -9,6 +9,9 @@
 from tests.fakes.object_store import MemoryObjects
 from wigeonfall.forwarding import store_position
 from wigeonfall.forwarding.store_position import Position
+from wigeonfall.ports.objects import Change
+from wigeonfall.ports.objects import Changes
+from wigeonfall.ports.platform import StoredObject
 
 KIND = 'k'
 
@@ -156,6 +159,19 @@
     assert fleet.events[1][1]['missing'] == 20
 
 
+def test_removed_object_does_not_hold_up_one_that_is_older():
+    fleet = Fleet(others=0)
+    (view,) = fleet.watchers
+    fleet.put(14)
+    fleet.watch()
+    (item,) = view.objects(KIND)
+    view.apply_changes(KIND, Changes((Change(item, True),), 9, 1))
+    assert view.positions()[KIND] == Position(1, 9)
+    older = StoredObject(KIND, 'main', 10, {'v': 3})
+    view.apply_changes(KIND, Changes((Change(older, False),), 10, 1))
+    assert fleet.versions() == {3}
+
+
 def as_earlier_release(snapshot):
     """Return a snapshot as releases without eras send it."""
     for item in snapshot.values():
--- a/wigeonfall/forwarding/store_view.py
+++ b/wigeonfall/forwarding/store_view.py
@@ -141,7 +141,7 @@
         for change in changes.changes:
             item = change.object
             if change.removed:
-                view.objects.pop(item.name, None)
+                self._remove(view, item.name)
                 view.revision = max(view.revision, changes.revision)
             else:
                 view.objects[item.name] = self._newest(view, item)
@@ -235,6 +235,12 @@
         view.writer_version = max(view.writer_version, version)
         return item
 
+    def _remove(self, view: KindView, name: str) -> None:
+        removed = view.objects.pop(name, None)
+        if removed is not None and self._writer_version(removed):
+            versions = map(self._writer_version, view.objects.values())
+            view.writer_version = max(versions, default=0)
+
     def _notify(self, kind: str) -> None:
         view = self._kinds[kind]
         era_advertised = view.advertised.era == view.era
--- a/wigeonfall/forwarding/store_watcher.py
+++ b/wigeonfall/forwarding/store_watcher.py
@@ -149,7 +149,7 @@
         # Changes may be lost with the connection, so list all again.
         return None, error.message
     changes = outcome.ok_value
-    if changes.era != progress.era:
+    if changes.era and changes.era != progress.era:
         # The revision that the watch began at is not one of this era.
         return None, None
     progress.revision = changes.revision
