--- a/wigeonfall/policy/target_view.py
+++ b/wigeonfall/policy/target_view.py
@@ -132,27 +132,24 @@
 
     def _find_outdated(self, listed: dict[str, Target], now_s: float) -> None:
         """Note the entries that are older than what is known of targets."""
-        known = self._in_force(now_s)
-        outdated = {}
+        in_force = self._in_force(now_s)
+        until_s = now_s + EXPIRY_S
+        self._outdated = {}
         for name, target in listed.items():
-            before = known.get(name)
+            known = in_force.get(name)
             departed = self._departed.get(name)
-            if before is not None:
-                entry = OutdatedEntry(
-                    before.incarnation, before, now_s + EXPIRY_S
-                )
-                left = before.state is TargetState.LEAVING
+            if known is not None:
+                entry = OutdatedEntry(known.incarnation, known, until_s)
+                gone = known.state is TargetState.LEAVING
             elif departed is not None:
-                gone = departed.target
-                entry = OutdatedEntry(gone.incarnation, None, now_s + EXPIRY_S)
-                left = True
+                incarnation = departed.target.incarnation
+                entry = OutdatedEntry(incarnation, None, until_s)
+                gone = True
             else:
                 continue
-            if target.incarnation < entry.incarnation or (
-                left and not _is_newer(target, entry)
-            ):
-                outdated[name] = entry
-        self._outdated = outdated
+            same = target.incarnation == entry.incarnation
+            if target.incarnation < entry.incarnation or (gone and same):
+                self._outdated[name] = entry
 
     def _forget_departed(self, now_s: float) -> None:
         for name, departed in tuple(self._departed.items()):
