--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -22,6 +22,7 @@
 FAULT_S = (0.2, 2.0)
 GAP_S = (0.2, 1.5)
 HEALED_S = 20.0  # in which all serve again; processes share a busy machine
+LOST_WRITES = 200  # before a restore; revisions do not catch up in a run
 SETTLE_S = 3.0  # after a restart, peers know the new start
 ROUTES = (
     ('once', 'non_idempotent', 1, False),
@@ -272,6 +273,9 @@
 
         def restore() -> Undo:
             copy = objects.copy()
+            for _ in range(LOST_WRITES):
+                objects.put('other', 'counter', {})
+            change()
 
             def undo() -> None:
                 objects.restore(copy)
@@ -279,6 +283,10 @@
 
             return undo
 
+        def change() -> None:
+            self._version += 1
+            objects.put('config', 'main', self._manifest())
+
         return 'restores', (('restore', restore),)
 
     def _write_again(self) -> None:
