Add case 5 of the review: a version that fails on one route takes over

Tried: a roll-out within 60 s to a version that fails two in five requests of one route, which has a tenth of the traffic of its service.

Seen: failures of all routes are compared together, 3.4 in 100 against a limit of 8, so the version is taken for good and completed.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+set -euo pipefail
+cd "$(dirname "$0")"
+PYTHONPATH="$(cd .. && pwd)" exec python3 case.py
