Let the engine of case 1 send newlines in all its answers

Requesters of streams now ask both machines all the time, leave after 3.2 s without an event and come back, and the machines' answers about their readiness are timed.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,16 +1,21 @@
 """An engine sends newlines without end in the body of a stream."""
 
 import asyncio
+import itertools
 
 from common import deployment
 from common import requesters
 
 CHANNELS_PER_MACHINE = 10
+STREAMS_PER_MACHINE = 3
 PAUSE_S = 0.25
 CALM_S = 8.0
 TROUBLE_S = 22.0
 TIMEOUT_MS = 1500
 LIMIT_MS = 3000
+STREAM_LIMIT_MS = 15_000
+PATIENCE_MS = 3200  # four times the aim of the stream
+PROBE_S = 0.1
 GRACE_S = 0.5
 MIN_REQUESTS = 8
 FLOOD = b'\n' * 65536
@@ -24,7 +29,12 @@
             'order-place', 'non_idempotent', 'pedidos-app', TIMEOUT_MS
         ),
         deployment.route(
-            'cut-check', 'streaming', 'wigeon-pool', 3000, **stream_fields
+            'batch-report',
+            'streaming',
+            'wigeon-pool',
+            STREAM_LIMIT_MS,
+            800,
+            **stream_fields,
         ),
     ]
     run.store.put('config', 'main', deployment.manifest(routes))
@@ -35,6 +45,7 @@
     await run.start_machines(2)
     loop = asyncio.get_running_loop()
     attempts = []
+    streams = []
     for machine in run.machines:
         for _ in range(CHANNELS_PER_MACHINE):
             run.keep(
@@ -47,19 +58,44 @@
                     limit_ms=LIMIT_MS,
                 )
             )
+        for _ in range(STREAMS_PER_MACHINE):
+            run.keep(
+                requesters.keep_asking(
+                    run.machines,
+                    machine,
+                    streams,
+                    'batch-report',
+                    PAUSE_S,
+                    limit_ms=STREAM_LIMIT_MS,
+                    patience_ms=PATIENCE_MS,
+                )
+            )
     await asyncio.sleep(deployment.STABILITY_S + CALM_S)
     began_s = loop.time()
+    ready_s = {machine.name: [began_s] for machine in run.machines}
+    for machine in run.machines:
+        run.keep(probe(machine, ready_s[machine.name]))
     if run.trouble:
+        run.record.say('the engine of the streams sends newlines')
         pool.on_request = flood
-    attempt = await requesters.ask_on_new_channel(
-        run.machines[0], 'cut-check', limit_ms=LIMIT_MS
-    )
-    run.record.say(f'the stream at edge-1: {attempt.outcome}')
     await asyncio.sleep(max(0.0, began_s + TROUBLE_S - loop.time()))
-    run.add_all(attempts)
+    for name, times_s in ready_s.items():
+        pairs = itertools.pairwise([*times_s, loop.time()])
+        gap_s = max(b - a for a, b in pairs)
+        run.record.say(f'{name}: no answer for {gap_s:.1f} s')
+    run.record.say(f'{len(streams)} streams ended')
+    run.add_all(attempts + streams)
     return judge(run, attempts)
 
 
+async def probe(machine, ready_s):
+    """Keep the times at which a machine says that it is ready."""
+    while True:
+        if await machine.says_ready():
+            ready_s.append(asyncio.get_running_loop().time())
+        await asyncio.sleep(PROBE_S)
+
+
 async def answer_stream(run, headers, writer):
     """Answer with three events, as a sound engine does."""
     await start_stream(headers, writer)
--- a/review/common/requesters.py
+++ b/review/common/requesters.py
@@ -65,7 +65,14 @@
         if self._writer is not None:
             self._writer.close()
 
-    async def ask(self, route, method='POST', limit_ms=3000, body=b'{}'):
+    async def ask(
+        self,
+        route,
+        method='POST',
+        limit_ms=3000,
+        body=b'{}',
+        patience_ms=None,
+    ):
         """Send a request and wait for its answer.
 
         Args:
@@ -73,6 +80,7 @@
             method: HTTP method.
             limit_ms: how long the requester waits.
             body: its body.
+            patience_ms: how long it waits without an event, for streams.
 
         Returns:
             The attempt.
@@ -86,7 +94,7 @@
         }
         first = f'{method} /{route}/x HTTP/1.1'
         try:
-            async with asyncio.timeout(limit_ms / 1000):
+            async with asyncio.timeout((patience_ms or limit_ms) / 1000):
                 self._writer.write(http.encode(first, headers, body))
                 await self._read_answer(attempt)
         except TimeoutError:
