Bound the work and the memory that one peer's bytes take

Cause: the splitter of streams took each empty line for an event, and searched and copied all of the rest for each one, on the event loop: 2.3 s for 64 KB. An event in small pieces was copied with each piece. The work was quadratic in what one target sends at once, and reads of 256 KB with another 512 KB of buffer let it send much.

Ruled out: the parser and the writes to callers; the first tests of the splitter alone show the time, without a connection.

Change: the splitter looks at each byte once. Blank lines, comments and repeated events are no events; 64 KB of them break a stream off. A connection is read 16 KB at a time and holds at most 32 KB; framing is allowed in proportion to the body. Bytes on an idle connection close it. An answer that is given up counts as a failure of its target. Calls sent before earlier answers are read only up to 16.

--- a/wigeonfall/forwarding/attempt.py
+++ b/wigeonfall/forwarding/attempt.py
@@ -107,6 +107,8 @@
     sent = Sent(exchange, slot, started_s, execution.repeatable)
     try:
         result = await _receive(context, request, sent, relay)
+        if result.outcome is AttemptOutcome.BROKEN:
+            context.observations.record_failure(target.name)
     except ExchangeError as error:
         result = AttemptResult(
             AttemptOutcome.BROKEN,
--- a/wigeonfall/forwarding/caller_server.py
+++ b/wigeonfall/forwarding/caller_server.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
 import http
@@ -16,9 +17,11 @@
 
 from ..model.routing import CallerLimits
 from .framing import FramingBudget
+from .framing import READ_BYTES
 
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 _MAX_WRITE_BUFFER_BYTES = 256 << 10  # above, reading from targets pauses
+MAX_PENDING_CALLS = 16  # that a caller sends before earlier answers
 REQUEST_LINE_BYTES = 1 << 10  # and separators, beside the limit on headers
 _REASON_PHRASES = {status.value: status.phrase for status in http.HTTPStatus}
 
@@ -60,12 +63,16 @@
         limits: returns the current limits on requests.
         closing: returns whether to close connections after an answer.
         connections: the open connections.
+        read_buffer: memory that they read into.
     """
 
     handle: HandleCall
     limits: Callable[[], CallerLimits]
     closing: Callable[[], bool]
     connections: set['CallerConnection'] = attrs.field(factory=set)
+    read_buffer: bytearray = attrs.field(
+        factory=lambda: bytearray(READ_BYTES), repr=False
+    )
 
 
 class Reply:
@@ -125,14 +132,18 @@
         self.complete = True
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.BufferedProtocol):
     """A connection of a caller."""
 
     def __init__(self, context: ServerContext) -> None:
         self._context = context
+        self._read_buffer = memoryview(context.read_buffer)
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
-        self._pending_calls: list[tuple[Call, bool]] = []
+        self._pending_calls: collections.deque[tuple[Call, bool]] = (
+            collections.deque()
+        )
+        self._reading_paused = False
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._writable = asyncio.Event()
@@ -178,7 +189,16 @@
         """Let writers continue."""
         self._writable.set()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the memory for the next read."""
+        del sizehint
+        return self._read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse what was read."""
+        self.data_received(self._read_buffer[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
         """Parse bytes of requests."""
         if self._rejected:
             return
@@ -215,7 +235,7 @@
 
     def on_headers_complete(self) -> None:
         """Answer `Expect: 100-continue`."""
-        self._framing.progressed()
+        self._framing.completed()
         self._stop_timer()
         expects = any(
             n == b'expect' and v.lower() == b'100-continue'
@@ -226,23 +246,23 @@
 
     def on_body(self, body: bytes) -> None:
         """Add a part of the body, within the limit."""
-        self._framing.progressed()
+        self._framing.found_body(len(body))
         self._body_bytes += len(body)
         if self._body_bytes > self._context.limits().body_bytes:
             self._reject(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
             return
-        self._body.append(body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Queue the request to be answered after earlier ones."""
-        self._framing.progressed()
+        self._framing.completed()
         if self._rejected or self._started_s is None:
             return
         call = Call(
             self._parser.get_method(),
             self._url,
             tuple(self._headers),
-            b''.join(self._body),
+            bytes(self._body),
             self._started_s,
         )
         close = not self._parser.should_keep_alive()
@@ -250,6 +270,10 @@
         self._pending_calls.append((call, close))
         if self._task is None:
             self._start_next()
+        elif len(self._pending_calls) >= MAX_PENDING_CALLS:
+            assert self._transport is not None
+            self._transport.pause_reading()
+            self._reading_paused = True
 
     def write(self, data: bytes) -> None:
         """Write bytes unless the caller has disconnected."""
@@ -272,7 +296,7 @@
     def _reset_message(self) -> None:
         self._url = b''
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._body_bytes = 0
         self._header_bytes = 0
         self._started_s = None
@@ -298,7 +322,11 @@
             self._transport.close()
 
     def _start_next(self) -> None:
-        call, close = self._pending_calls.pop(0)
+        call, close = self._pending_calls.popleft()
+        if self._reading_paused and not self._pending_calls:
+            assert self._transport is not None
+            self._reading_paused = False
+            self._transport.resume_reading()
         self._stop_timer()
         self._task = asyncio.get_running_loop().create_task(
             self._answer(call, close)
--- a/wigeonfall/forwarding/exchange.py
+++ b/wigeonfall/forwarding/exchange.py
@@ -12,6 +12,9 @@
 import time
 
 from ..errors import WigeonfallError
+from .answer_buffers import AnswerBuffers
+from .answer_buffers import HeldAnswer
+from .framing import READ_BYTES
 from .target_connection import Response
 from .target_connection import ResponseHead
 from .target_connection import TargetConnection
@@ -35,7 +38,11 @@
 
 
 class Exchange:
-    """A request that was sent to a target, and its answer."""
+    """A request that was sent to a target, and its answer.
+
+    Attributes:
+        held: counts what is held of the answer.
+    """
 
     def __init__(
         self,
@@ -44,6 +51,7 @@
         address: str,
         id_header: bytes,
         request_id: bytes,
+        held: HeldAnswer,
     ) -> None:
         self._connection = connection
         self._pool = pool
@@ -52,6 +60,7 @@
         self._request_id = request_id
         self._ambiguous = connection.used
         self._response: Response | None = None
+        self.held = held
 
     @property
     def framed(self) -> bool:
@@ -82,9 +91,8 @@
         assert self._response is not None
         while True:
             if self._response.body:
-                parts = tuple(self._response.body)
+                data = bytes(self._response.body)
                 self._response.body.clear()
-                data = b''.join(parts)
                 self._connection.mark_consumed(len(data))
                 return data
             if self._response.complete:
@@ -93,18 +101,23 @@
             await self._connection.wait_for_change()
 
     async def read_all(self, max_bytes: int) -> bytes | None:
-        """Return the complete body, or None if it exceeds a limit."""
-        parts = []
-        size = 0
+        """Return the complete body, or None if it exceeds a limit.
+
+        Args:
+            max_bytes: limit of this body, beside that of all together.
+        """
+        body = bytearray()
         while part := await self.read():
-            parts.append(part)
-            size += len(part)
-            if size > max_bytes:
+            body += part
+            if len(body) > max_bytes:
                 return None
-        return b''.join(parts)
+            if not self.held.resize(len(body)):
+                return None
+        return bytes(body)
 
     def release(self) -> None:
         """Return the connection to the pool if reusable, else close it."""
+        self.held.resize(0)
         connection = self._connection
         complete = self._response is not None and self._response.complete
         clean = len(connection.responses) == 1 and connection.keep_alive
@@ -155,6 +168,8 @@
     def __init__(self, id_header: bytes) -> None:
         self._id_header = id_header
         self._idle: dict[str, list[TargetConnection]] = {}
+        self._read_buffer = bytearray(READ_BYTES)
+        self._buffers = AnswerBuffers()
 
     async def send(
         self,
@@ -182,9 +197,17 @@
         if connection is None:
             connection = await self._connect(address)
         assert connection.transport is not None
+        connection.idle = False
         connection.is_head_request = data.startswith(b'HEAD ')
         connection.transport.write(data)
-        return Exchange(connection, self, address, self._id_header, request_id)
+        return Exchange(
+            connection,
+            self,
+            address,
+            self._id_header,
+            request_id,
+            self._buffers.answer(),
+        )
 
     def add_idle(
         self, address: str, connection: TargetConnection, head: ResponseHead
@@ -231,7 +254,9 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    TargetConnection, host, int(port)
+                    lambda: TargetConnection(self._read_buffer),
+                    host,
+                    int(port),
                 )
         except (OSError, ValueError) as error:
             message = f'no connection: {error!r}'
--- a/wigeonfall/forwarding/relaying.py
+++ b/wigeonfall/forwarding/relaying.py
@@ -12,6 +12,7 @@
 from ..model.target import Target
 from ..policy.event_stream import EventSplitter
 from ..policy.quarantine import PROOF_S
+from .answer_buffers import HeldAnswer
 from .caller_server import Headers
 from .caller_server import Reply
 from .exchange import Exchange
@@ -24,6 +25,7 @@
 
 BUFFERED_BODY_BYTES = 1 << 20  # longer answers are relayed as they arrive
 MAX_EVENT_BYTES = 1 << 20  # a longer event of a stream has no end
+MAX_IDLE_STREAM_BYTES = 64 << 10  # of blanks and comments between two events
 # Time-outs of attempts that may be repeated at another target.
 PLAIN_HEAD_TIMEOUT_SHARE = 0.45  # of the time until the deadline
 STREAM_FIRST_EVENT_TIMEOUT_GOALS = 4.0  # in goals for the first event
@@ -257,6 +259,17 @@
     return AttemptResult(AttemptOutcome.ANSWERED, head.status, first_s=first_s)
 
 
+def _endless(splitter: EventSplitter, held: HeldAnswer) -> str:
+    """Return why a stream is taken to have no end, '' if it is not."""
+    if splitter.partial_bytes > MAX_EVENT_BYTES:
+        return f'event of over {MAX_EVENT_BYTES} bytes'
+    if splitter.idle_bytes > MAX_IDLE_STREAM_BYTES:
+        return f'over {MAX_IDLE_STREAM_BYTES} bytes without a new event'
+    if not held.resize(splitter.partial_bytes):
+        return 'no memory for the event'
+    return ''
+
+
 async def relay_stream(
     context: RelayContext,
     request: RoutedRequest,
@@ -271,6 +284,7 @@
             AttemptOutcome.BROKEN, head.status, 'answer is no event stream'
         )
     events_before = splitter.event_count
+    unsent = b''  # what came before the first event
     first_s = 0.0
     longest_pause_s = 0.0
     proven = False
@@ -294,15 +308,17 @@
         now_s = time.monotonic()
         if not part:
             break
-        whole = splitter.feed(part)
-        if len(splitter.partial_event) > MAX_EVENT_BYTES:
-            return AttemptResult(
-                AttemptOutcome.BROKEN,
-                head.status,
-                f'event of over {MAX_EVENT_BYTES} bytes',
-            )
-        if not whole:
+        whole = unsent + splitter.feed(part)
+        problem = _endless(splitter, sent.exchange.held)
+        if problem:
+            return AttemptResult(AttemptOutcome.BROKEN, head.status, problem)
+        if splitter.event_count == events_before + sent.events:
+            # Blank lines and comments prove nothing of the target.
+            if relay.started and whole:
+                await relay.reply.write(whole)
+            unsent = b'' if relay.started else whole
             continue
+        unsent = b''
         if first_s:
             longest_pause_s = max(longest_pause_s, now_s - last_s)
         else:
@@ -320,12 +336,15 @@
     # Without events or a proven end, the target may have crashed at once.
     empty = splitter.event_count == events_before
     unproven = empty and not sent.exchange.framed
-    if splitter.partial_event or not relay.started or unproven:
+    if splitter.in_event or not relay.started or unproven:
         return AttemptResult(
             AttemptOutcome.BROKEN,
             head.status,
             'stream ended within an event or without any',
         )
+    rest = splitter.flush()
+    if rest:
+        await relay.reply.write(rest)
     relay.reply.finish()
     return AttemptResult(
         AttemptOutcome.ANSWERED,
--- a/wigeonfall/forwarding/target_connection.py
+++ b/wigeonfall/forwarding/target_connection.py
@@ -10,6 +10,7 @@
 
 from .caller_server import Headers
 from .framing import FramingBudget
+from .framing import READ_BYTES
 
 UNACKED_TIMEOUT_MS = 1500  # detects hosts that lost power
 KEEPALIVE_IDLE_S = 1
@@ -17,7 +18,8 @@
 KEEPALIVE_PROBE_COUNT = 2
 MAX_FRAMING_BYTES = 64 << 10  # several times the heads of sound targets
 MAX_RESPONSES = 16  # to one request, with interim and unasked ones
-_MAX_BUFFER_BYTES = 512 << 10
+# Handled in one turn of the event loop, together with what is read in it.
+_MAX_BUFFER_BYTES = 16 << 10
 _STATUSES_WITHOUT_BODY = (204, 304)
 
 
@@ -52,7 +54,7 @@
     def __init__(self) -> None:
         self.headers: list[tuple[bytes, bytes]] = []
         self.head: ResponseHead | None = None
-        self.body: collections.deque[bytes] = collections.deque()
+        self.body = bytearray()
         self.complete = False
         self.ends_at_eof = False
 
@@ -61,18 +63,24 @@
     """A target sent more answers than a sound one does."""
 
 
-class TargetConnection(asyncio.Protocol):
+class TargetConnection(asyncio.BufferedProtocol):
     """A connection to a target.
 
+    Args:
+        read_buffer: memory to read into, shared by the connections of a loop.
+
     Attributes:
         is_head_request: whether the answer has no body.
         used: whether an earlier request was sent on it.
+        idle: whether no request was sent since the last answer.
         error: why no further bytes of an answer are valid, or None.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, read_buffer: bytearray | None = None) -> None:
+        self._read_buffer = memoryview(read_buffer or bytearray(READ_BYTES))
         self.is_head_request = False
         self.used = False
+        self.idle = False
         self.transport: asyncio.Transport | None = None
         self.responses: collections.deque[Response] = collections.deque()
         self.parser = httptools.HttpResponseParser(self)
@@ -92,8 +100,20 @@
         self.transport = transport
         _set_options(transport.get_extra_info('socket'))
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the memory for the next read."""
+        del sizehint
+        return self._read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse what was read."""
+        self.data_received(self._read_buffer[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
         """Parse bytes of answers."""
+        if self.idle:
+            self._fail('bytes without a request')
+            return
         self._framing.received(data)
         try:
             self.parser.feed_data(data)
@@ -141,7 +161,7 @@
 
     def on_headers_complete(self) -> None:
         """Store the head and determine how the body ends."""
-        self._framing.progressed()
+        self._framing.completed()
         response = self.responses[-1]
         headers = tuple(response.headers)
         length = _length(headers)
@@ -165,8 +185,8 @@
 
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body; pauses reading when full."""
-        self._framing.progressed()
-        self.responses[-1].body.append(body)
+        self._framing.found_body(len(body))
+        self.responses[-1].body += body
         self._buffered_bytes += len(body)
         if self._buffered_bytes > _MAX_BUFFER_BYTES and not self._paused:
             assert self.transport is not None
@@ -175,7 +195,7 @@
 
     def on_message_complete(self) -> None:
         """Mark the answer as complete."""
-        self._framing.progressed()
+        self._framing.completed()
         self.responses[-1].complete = True
 
     def mark_consumed(self, size: int) -> None:
@@ -197,7 +217,8 @@
         self.used = True
         self.responses.clear()
         self._responses_begun = 0
-        self._framing.progressed()
+        self._framing.completed()
+        self.idle = True
 
     def abort(self) -> None:
         """Close the connection at once, which cancels its request."""
--- a/wigeonfall/policy/event_stream.py
+++ b/wigeonfall/policy/event_stream.py
@@ -1,8 +1,19 @@
-"""Splits a stream of server-sent events into whole events."""
+"""Splits a stream of server-sent events into whole events.
+
+A faulty target may send blank lines, comments or events that were already
+sent without end. The work is linear in the bytes received, however they are
+divided, and those that belong to no new event are counted.
+"""
+
+import re
 
 import attrs
 
-_SEPARATORS = (b'\n\n', b'\r\n\r\n')
+# A blank line ends an event; those that follow directly are part of its end.
+_END_OF_EVENT = re.compile(rb'\n\r?\n[\r\n]*')
+_LONGEST_SPLIT_END = 2  # bytes of an end that may have arrived before
+_ID = re.compile(rb'(?:^|[\r\n])id:([^\r\n]*)')
+_FIELD = re.compile(rb'(?:^|[\r\n])[^:\r\n]')  # a line that is no comment
 
 
 @attrs.define
@@ -12,57 +23,76 @@
     Attributes:
         last_id: id of the last whole event, or ''.
         event_count: number of whole events so far.
-        partial_event: bytes received of an incomplete event.
+        idle_bytes: bytes since the last event that belong to none: blank
+            lines, comments and events that were left out.
     """
 
     last_id: str = ''
     event_count: int = 0
-    partial_event: bytes = b''
+    idle_bytes: int = 0
+    _buffer: bytearray = attrs.field(factory=bytearray)
+    _searched: int = 0
+
+    @property
+    def partial_bytes(self) -> int:
+        """Number of bytes received of an incomplete event."""
+        return len(self._buffer)
+
+    @property
+    def in_event(self) -> bool:
+        """Whether a part of an event was received, and not only blanks."""
+        return bool(self._buffer.strip(b'\r\n'))
 
     def discard_partial_event(self) -> None:
         """Drop an incomplete event that a broken answer left."""
-        self.partial_event = b''
+        self._buffer.clear()
+        self._searched = 0
+        self.idle_bytes = 0
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes and return the events that they complete.
 
         Events whose id does not follow last_id are left out, since a resumed
-        stream may repeat events that the caller already has.
+        stream may repeat events that the caller already has. Comments are
+        passed on.
         """
-        data = self.partial_event + data
+        buffer = self._buffer
+        buffer += data
+        start = 0
         whole = []
-        while True:
-            end = _end_of_event(data)
-            if end < 0:
-                break
-            event, data = data[:end], data[end:]
+        for end in _END_OF_EVENT.finditer(buffer, self._searched):
+            event = bytes(buffer[start : end.end()])
+            start = end.end()
             if self._is_new(event):
                 whole.append(event)
-        self.partial_event = data
+        del buffer[:start]
+        self._searched = max(0, len(buffer) - _LONGEST_SPLIT_END)
         return b''.join(whole)
 
+    def flush(self) -> bytes:
+        """Return the blank lines at the end of a complete stream."""
+        rest = b'' if self.in_event else bytes(self._buffer)
+        self._buffer.clear()
+        self._searched = 0
+        return rest
+
     def _is_new(self, event: bytes) -> bool:
-        event_id = _id_of(event)
+        """Count an event; return whether the caller may lack it."""
+        found = _ID.search(event)
+        event_id = found[1].strip().decode('latin-1') if found else ''
         if event_id and self.last_id and not _follows(event_id, self.last_id):
+            self.idle_bytes += len(event)
             return False
+        if not found and not _FIELD.search(event):
+            self.idle_bytes += len(event)
+            return True
         if event_id:
             self.last_id = event_id
         self.event_count += 1
+        self.idle_bytes = 0
         return True
 
 
-def _end_of_event(data: bytes) -> int:
-    ends = [data.find(e) + len(e) for e in _SEPARATORS if data.find(e) >= 0]
-    return min(ends, default=-1)
-
-
-def _id_of(event: bytes) -> str:
-    for line in event.splitlines():
-        if line.startswith(b'id:'):
-            return line[3:].strip().decode('latin-1')
-    return ''
-
-
 def _follows(event_id: str, last_id: str) -> bool:
     if event_id.isdigit() and last_id.isdigit():
         return int(event_id) > int(last_id)
