--- a/tests/policy/test_event_stream.py
+++ b/tests/policy/test_event_stream.py
@@ -86,3 +86,21 @@
     assert splitter.idle_bytes == 10 * len(b''.join(EVENTS[:5]))
     assert splitter.feed(EVENTS[5]) == EVENTS[5]
     assert splitter.idle_bytes == 0
+
+
+@pytest.mark.parametrize(
+    ('last_id', 'event_id', 'follows'),
+    [
+        ('\u00b2', '\u00b3', True),  # digits to Python, not to int()
+        ('9' * 5000, '1' + '0' * 5000, True),  # more digits than int() takes
+        ('9' * 5000, '9' * 4999, False),
+        ('007', '8', True),
+        ('8', '007', False),
+    ],
+)
+def test_odd_event_ids_do_not_end_the_request(last_id, event_id, follows):
+    """Ids of digits that are not ASCII closed the channels of callers."""
+    splitter = EventSplitter()
+    splitter.feed(f'id: {last_id}\n\n'.encode('latin-1'))
+    event = f'id: {event_id}\n\n'.encode('latin-1')
+    assert splitter.feed(event) == (event if follows else b'')
--- a/wigeonfall/policy/event_stream.py
+++ b/wigeonfall/policy/event_stream.py
@@ -94,6 +94,16 @@
 
 
 def _follows(event_id: str, last_id: str) -> bool:
-    if event_id.isdigit() and last_id.isdigit():
-        return int(event_id) > int(last_id)
+    if _is_number(event_id) and _is_number(last_id):
+        return _order(event_id) > _order(last_id)
     return event_id != last_id
+
+
+def _is_number(event_id: str) -> bool:
+    return event_id.isascii() and event_id.isdecimal()
+
+
+def _order(number: str) -> tuple[int, str]:
+    """Return a key that orders decimal numbers of any length."""
+    digits = number.lstrip('0')
+    return len(digits), digits
