Let a listing count removals in its position

Cause: the position of a listing was the newest version of an object in it, so that a listing after a removal seemed older than what a peer without the store still knew, and the peer's targets replaced it.

Change: a state has the revision as of which it is complete and the one after which it has not changed; an instance takes nothing from peers that is not newer than the first. A digest of names and versions spares fetches of what is known.

--- a/wigeonfall/forwarding/store_view.py
+++ b/wigeonfall/forwarding/store_view.py
@@ -12,6 +12,7 @@
 from ..ports.objects import Listing
 from ..ports.platform import StoredObject
 from ..recorder import Record
+from . import store_position
 from .store_position import Position
 
 # Objects named in an event; an object that is lost is in all later ones too.
@@ -25,7 +26,10 @@
     Attributes:
         objects: the objects by name.
         era: era of the store that they are from, 0 if unknown.
-        revision: store revision of the newest change in them; 0 before any.
+        revision: store revision after which they have not changed; 0 before
+            any.
+        read_revision: store revision as of which they are complete.
+        digest: tells different sets of objects apart.
         eraless_revision: newest revision that peers without eras told.
         advertised: the newest position that peers should fetch.
         writer_version: newest version of an object by its writer's count.
@@ -38,6 +42,8 @@
     objects: dict[str, StoredObject] = attrs.field(factory=dict)
     era: int = 0
     revision: int = 0
+    read_revision: int = 0
+    digest: int = 0
     eraless_revision: int = 0
     advertised: Position = Position()
     writer_version: int = 0
@@ -47,7 +53,17 @@
     @property
     def position(self) -> Position:
         """The newest known position."""
-        return Position(self.era, self.revision, self.writer_version)
+        return Position(
+            self.era, self.revision, self.writer_version, self.digest
+        )
+
+    def knows(self, position: Position) -> bool:
+        """Return whether all changes up to a position are known."""
+        if position.era != self.era:
+            return position.era < self.era
+        return position.revision <= self.read_revision or (
+            0 < position.digest == self.digest
+        )
 
 
 class StoreView:
@@ -105,7 +121,9 @@
         """
         view = self._kinds[kind]
         if position.era or not view.era:
-            return view.position.is_behind(position)
+            return not view.knows(position) or (
+                view.writer_version < position.writer_version
+            )
         return view.eraless_revision < position.revision
 
     def objects(self, kind: str) -> tuple[StoredObject, ...]:
@@ -123,13 +141,12 @@
     def apply_listing(self, kind: str, listing: Listing) -> None:
         """Replace the objects of a kind by a listing of the store."""
         view = self._kinds[kind]
-        if 0 < listing.era < view.era:
+        if _is_outdated(view, listing.era, listing.revision):
             return
-        newest_version = max(
-            (item.version for item in listing.objects), default=1
-        )
-        position = Position(listing.era or view.era, newest_version)
-        if self._replace(kind, listing.objects, position):
+        # What is gone leaves no version, so that the listing may differ from
+        # what peers have by any change up to its revision.
+        position = Position(listing.era or view.era, listing.revision)
+        if self._replace(kind, listing.objects, position, listing.revision):
             self._notify(kind)
 
     def apply_changes(self, kind: str, changes: Changes) -> None:
@@ -137,9 +154,11 @@
         view = self._kinds[kind]
         if changes.era and changes.era != view.era:
             return
-        view.update_count += 1
+        if _is_outdated(view, changes.era, changes.revision):
+            return
         for change in changes.changes:
             item = change.object
+            before = view.objects.get(item.name)
             if change.removed:
                 self._remove(view, item.name)
                 view.revision = max(view.revision, changes.revision)
@@ -147,8 +166,13 @@
                 view.objects[item.name] = self._newest(view, item)
                 view.revision = max(view.revision, item.version)
                 self._mark_written(kind, item)
-        view.eraless_revision = max(view.eraless_revision, view.revision)
+            _update_digest(view, before, view.objects.get(item.name))
+        view.read_revision = max(
+            view.read_revision, view.revision, changes.revision
+        )
+        view.eraless_revision = max(view.eraless_revision, view.read_revision)
         if changes.changes:
+            view.update_count += 1
             self._notify(kind)
 
     def _replace(
@@ -156,16 +180,18 @@
         kind: str,
         listed: Iterable[StoredObject],
         position: Position,
+        read_revision: int,
     ) -> bool:
         """Replace the objects of a kind.
 
         Args:
             kind: name of the kind.
             listed: all objects of the kind.
-            position: where the store was when they were read.
+            position: era, and revision after which they have not changed.
+            read_revision: revision as of which they are complete.
 
         Returns:
-            Whether an object or the era has changed.
+            Whether an object or the era has changed, or none was known.
         """
         view = self._kinds[kind]
         view.update_count += 1
@@ -182,9 +208,13 @@
         else:
             for item in stored.values():
                 self._mark_written(kind, item)
-        view.revision = max(view.revision, position.revision)
-        view.eraless_revision = max(view.eraless_revision, view.revision)
-        changed = begins_era or objects != view.objects
+        first = not view.read_revision
+        changed = first or begins_era or objects != view.objects
+        if changed:
+            view.revision = max(view.revision, position.revision)
+            view.digest = store_position.digest(objects.values())
+        view.read_revision = max(view.read_revision, read_revision)
+        view.eraless_revision = max(view.eraless_revision, view.read_revision)
         view.objects = objects
         return changed
 
@@ -211,7 +241,7 @@
                 lost=len(view.lost),
             )
         view.era = position.era
-        view.revision = view.eraless_revision = 0
+        view.revision = view.read_revision = view.eraless_revision = 0
 
     def _mark_written(self, kind: str, item: StoredObject) -> None:
         """Record an event if the store had lost an object."""
@@ -258,6 +288,7 @@
             kind: {
                 'era': view.era,
                 'revision': view.revision,
+                'read_revision': view.read_revision,
                 'objects': [
                     attrs.asdict(item) for item in view.objects.values()
                 ],
@@ -285,26 +316,34 @@
                 continue
             objects = [StoredObject(**fields) for fields in item['objects']]
             position = Position(item.get('era', 0), item['revision'])
-            if self._apply_peer_objects(kind, objects, position):
+            # Releases before this field tell the newest change alone.
+            read_revision = item.get('read_revision', position.revision)
+            if self._apply_peer_objects(
+                kind, objects, position, read_revision
+            ):
                 replaced.append(kind)
         for kind in replaced:
             self._notify(kind)
         return replaced
 
     def _apply_peer_objects(
-        self, kind: str, objects: list[StoredObject], position: Position
+        self,
+        kind: str,
+        objects: list[StoredObject],
+        position: Position,
+        read_revision: int,
     ) -> bool:
         """Apply the objects of a peer; return whether any was newer."""
         view = self._kinds[kind]
         if not position.era and view.era:
             if position.revision <= view.eraless_revision:
                 return False
-            era, revision = view.era, view.revision
-            self._replace(kind, objects, Position(era, revision))
+            own = Position(view.era, view.revision)
+            self._replace(kind, objects, own, view.read_revision)
             view.eraless_revision = position.revision
             return True
-        if view.position.precedes(position):
-            self._replace(kind, objects, position)
+        if not view.knows(position):
+            self._replace(kind, objects, position, read_revision)
             return True
         newer = {
             item.name: item
@@ -312,6 +351,25 @@
             if self._writer_version(item) > view.writer_version
         }
         for item in newer.values():
+            before = view.objects.get(item.name)
             view.objects[item.name] = self._newest(view, item)
+            _update_digest(view, before, view.objects[item.name])
         view.update_count += bool(newer)
         return bool(newer)
+
+
+def _is_outdated(view: KindView, era: int, revision: int) -> bool:
+    """Return whether an answer of the store is older than what is known.
+
+    Without eras, a lower revision may be that of a store that was restored.
+    """
+    return 0 < era and (era, revision) < (view.era, view.read_revision)
+
+
+def _update_digest(
+    view: KindView, before: StoredObject | None, after: StoredObject | None
+) -> None:
+    """Update the digest of a kind for the change of one object."""
+    removed = store_position.digest([before] if before else ())
+    added = store_position.digest([after] if after else ())
+    view.digest = (view.digest + added - removed) % store_position.DIGEST_RANGE
--- a/wigeonfall/ports/objects.py
+++ b/wigeonfall/ports/objects.py
@@ -12,11 +12,11 @@
 
 @attrs.frozen
 class Listing:
-    """All objects of a kind at one revision of the store.
+    """All objects of a kind as of one revision of the store.
 
     Attributes:
-        objects: the objects.
-        revision: revision of the store at which they were read.
+        objects: the objects; some may have changed after the revision.
+        revision: revision of the store as of which they are complete.
         era: era of the store, which rises each time it is restored from an
             older copy; 0 if the store does not tell.
     """
