Compare the failures of versions by route, customer and data centre

Cause: failures of all routes were compared together, over the whole time. 4 in 100 of all failed, 8 in 100 more than before are tolerated. Evidence: the counts in the event of the move; with the same counts by route, the test finds the version after four failures.

Change: a sequential test by part, over the whole time and from eight moments on, with odds of 0.05 for a wrong finding over a whole rollout. Requests move, and the move is final, only when each route looks sound.

--- a/tests/forwarding/test_rollouts.py
+++ b/tests/forwarding/test_rollouts.py
@@ -6,9 +6,11 @@
 from result import Ok
 
 from tests.policy.test_load_balancer import make_balancer
+from tests.policy.test_routing import make_route
 from tests.policy.test_version_trial import answer
 from tests.policy.test_version_trial import make_trials
 from wigeonfall.forwarding.rollouts import Rollouts
+from wigeonfall.model.target import Target
 from wigeonfall.policy.version_trial import State
 from wigeonfall.ports.platform import StoredObject
 
@@ -57,6 +59,34 @@
     asyncio.run(scenario())
 
 
+@attrs.frozen
+class Request:
+    """The fields of a request that tell its parts."""
+
+    route: object
+    id: str = 'id'
+    service: str = 's'
+    customer: object = None
+
+
+def test_a_version_that_fails_on_one_route_only_is_taken_back():
+    """It took over, as its failures were few among those of all routes."""
+    rollouts = make_rollouts(Store(), 0.0)
+    old = Target('a', 's', 'dc', '10.0.0.1:1', version='v1')
+    new = attrs.evolve(old, name='b', version='v2')
+    for number in range(4000):
+        target = old if number % 20 else new
+        route = make_route('rare' if number // 20 % 10 == 0 else 'usual', '/')
+        fails = (
+            target is new and route.name == 'rare' and number // 200 % 5 < 2
+        )
+        ok = not fails
+        rollouts.add_evidence(Request(route), target, ok, 0.1)
+    assert rollouts.trials.decide('s', True, 6.5) is State.ROLLED_BACK
+    (order,) = rollouts.trials.running()
+    assert rollouts.trials.summary(order)['part'] == 'route rare'
+
+
 def test_one_that_may_not_report_stores_nothing(monkeypatch):
     """Each of 195 instances wrote each verdict."""
     monkeypatch.setattr('time.monotonic', lambda: 11.9)
--- a/wigeonfall/forwarding/attempt.py
+++ b/wigeonfall/forwarding/attempt.py
@@ -236,4 +236,6 @@
     if result.status == MISDIRECTED:
         context.on_misdirected(target)
     if result.outcome is not AttemptOutcome.NOT_RUN:
-        context.on_outcome(request, target, answered, result.first_s)
+        # Errors of callers are as frequent with any version.
+        ok = answered and result.status < http.HTTPStatus.BAD_REQUEST
+        context.on_outcome(request, target, ok, result.first_s)
--- a/wigeonfall/forwarding/rollouts.py
+++ b/wigeonfall/forwarding/rollouts.py
@@ -11,6 +11,7 @@
 from ..model.target import Target
 from ..policy.load_balancer import LoadBalancer
 from ..policy.target_stats import RequestSize
+from ..policy import version_failures
 from ..policy.version_trial import Order
 from ..policy.version_trial import State
 from ..policy.version_trial import Trials
@@ -68,8 +69,14 @@
             ),
             default=0.0,
         )
+        parts = [
+            version_failures.ROUTE + request.route.name,
+            version_failures.DATA_CENTER + target.data_center,
+        ]
+        if request.customer is not None:
+            parts.append(version_failures.CUSTOMER + request.customer.name)
         self.trials.add_evidence(
-            request.service, target.version, ok, first_s, slowest_old_s
+            request.service, target.version, ok, first_s, slowest_old_s, parts
         )
 
     def add_time(
--- a/wigeonfall/forwarding/state_exchange.py
+++ b/wigeonfall/forwarding/state_exchange.py
@@ -11,7 +11,7 @@
 from ..policy.target_stats import TargetLoad
 from ..policy import token_quota
 from ..policy.token_quota import TokenQuotas
-from ..policy.version_trial import Evidence
+from ..policy.version_evidence import Evidence
 from . import store_position
 from .cluster_state import ClusterState
 from .peer_state import PeerState
--- a/wigeonfall/policy/version_trial.py
+++ b/wigeonfall/policy/version_trial.py
@@ -11,27 +11,33 @@
 
 from collections.abc import Collection
 from collections.abc import Iterable
-from collections.abc import Mapping
 import enum
 
 import attrs
 import xxhash
 
+from . import version_failures
 from . import version_pace
+from .version_evidence import Evidence
+from .version_failures import Answers
+from .version_failures import Comparison
+from .version_failures import FailureTest
+from .version_failures import Finding
+from .version_failures import MIN_BAD_ANSWERS
+from .version_failures import Parts
 from .version_pace import Times
 
 TRIAL_SHARE = 0.05  # half of the published limit on exposure
 MOVE_AFTER_SHARE = 0.5  # of the duration; all requests may move then
 DECIDE_AFTER_SHARE = 0.8  # of the duration; an order may be seen late
 MIN_ANSWERS = 12  # needed for a move
-MIN_BAD_ANSWERS = 4  # bad answers needed to find a version bad
 BAD_FACTOR = 2.5  # times the old version's share of bad answers
 BAD_EXCESS = 0.08  # added to it
 MIN_SLOW_S = 0.1  # shorter times do not count as slow
 SLOW_FACTOR = 4.0  # times the slowest old target
+MAX_PARTS = 48  # whose answers are counted, so that messages stay short
 _HASH_RANGE = 2**64
 _MOVING = 'moving'  # counted by each instance that moves all requests
-_TOTAL_PREFIX = '~'  # of the counts over all instances that a hub hears
 _OLD_PREFIX = 'before '  # of versions before that of an order
 _TIMES_PREFIX = 'times '  # of the number of answers of a route with a time
 _LOG_PREFIX = 'times-log '  # of the sum of the logarithms of these times
@@ -73,94 +79,18 @@
         seen_s: when it was first seen, on the monotonic clock.
         verdict: decision of this instance.
         moving: whether all requests go to the new version.
+        failures: compares the failures of the versions.
+        finding: the part of the requests that is worse, None if none is.
+        parts: parts of the requests whose answers are counted.
     """
 
     order: Order
     seen_s: float
+    failures: FailureTest
     verdict: State = State.RUNNING
     moving: bool = False
-
-
-class Evidence:
-    """Counts of answers by version, from this instance and its peers."""
-
-    def __init__(self) -> None:
-        self._own: dict[str, int] = {}
-        self._peers: dict[tuple[str, int], Mapping[str, int]] = {}
-        self._totals: dict[str, int] = {}
-
-    def advertised(self, with_totals: bool) -> dict[str, int]:
-        """Return the counts to send to peers.
-
-        Args:
-            with_totals: whether to add the counts over all instances.
-        """
-        counts = dict(self._own)
-        if with_totals:
-            keys = self._own.keys() | self._totals.keys()
-            for peer in self._peers.values():
-                keys |= peer.keys()
-            for key in keys:
-                counts[_TOTAL_PREFIX + key] = self._total(key)
-        return counts
-
-    def count(
-        self, service: str, version: str, outcome: str, number: int = 1
-    ) -> None:
-        """Count an answer, or add a number to a sum."""
-        key = f'{service}/{version}/{outcome}'
-        self._own[key] = self._own.get(key, 0) + number
-
-    def keep_only(self, versions: Collection[str]) -> None:
-        """Drop the counts of all versions but some.
-
-        Args:
-            versions: the versions to keep, each as "service/version/".
-        """
-        kept = tuple(versions)
-        for counts in (self._own, self._totals):
-            for key in tuple(counts):
-                if not key.startswith(kept):
-                    del counts[key]
-        for peer, heard in tuple(self._peers.items()):
-            self._peers[peer] = {
-                key: count
-                for key, count in heard.items()
-                if key.startswith(kept)
-            }
-            if not self._peers[peer]:
-                del self._peers[peer]
-
-    def names(self, service: str, version: str) -> set[str]:
-        """Return the names of the counts of a version."""
-        prefix = f'{service}/{version}/'
-        return {
-            key.removeprefix(prefix)
-            for counts in (self._own, self._totals, *self._peers.values())
-            for key in counts
-            if key.startswith(prefix)
-        }
-
-    def set_peer_counts(
-        self, peer: str, incarnation: int, counts: Mapping[str, int]
-    ) -> None:
-        """Replace the counts of one incarnation of a peer."""
-        own = {}
-        for key, count in counts.items():
-            if key.startswith(_TOTAL_PREFIX):
-                key = key.removeprefix(_TOTAL_PREFIX)
-                self._totals[key] = max(count, self._totals.get(key, 0))
-            else:
-                own[key] = count
-        self._peers[peer, incarnation] = own
-
-    def total(self, service: str, version: str, outcome: str) -> int:
-        """Return a count over all instances."""
-        return self._total(f'{service}/{version}/{outcome}')
-
-    def _total(self, key: str) -> int:
-        heard = sum(counts.get(key, 0) for counts in self._peers.values())
-        return max(self._own.get(key, 0) + heard, self._totals.get(key, 0))
+    finding: Finding | None = None
+    parts: set[str] = attrs.field(factory=set)
 
 
 class Trials:
@@ -179,7 +109,9 @@
         for service, order in present.items():
             trial = self._trials.get(service)
             if trial is None or trial.order.version != order.version:
-                trial = Trial(order, now_s)
+                trial = Trial(
+                    order, now_s, FailureTest(order.duration_s, now_s)
+                )
                 self._trials[service] = trial
             trial.order = order
             if order.state is not State.RUNNING:
@@ -212,6 +144,7 @@
         ok: bool,
         first_s: float,
         slowest_old_s: float,
+        parts: Collection[str] = (),
     ) -> None:
         """Count an answer while a trial runs.
 
@@ -222,6 +155,7 @@
             first_s: time to the first byte of its answer.
             slowest_old_s: time to a first event without a prompt at the
                 slowest target of other versions, 0 if unknown.
+            parts: parts of the requests that the answer belongs to.
         """
         trial = self._trials.get(service)
         if trial is None or trial.verdict is not State.RUNNING:
@@ -231,12 +165,13 @@
         slow = (
             new and slowest_old_s > 0 and first_s > SLOW_FACTOR * reference_s
         )
-        good = ok and not slow
-        self.evidence.count(
-            service,
-            _evidence_name(trial.order, version),
-            'good' if good else 'bad',
-        )
+        outcome = 'good' if ok and not slow else 'bad'
+        name = _evidence_name(trial.order, version)
+        self.evidence.count(service, name, outcome)
+        for part in parts:
+            if part in trial.parts or len(trial.parts) < MAX_PARTS:
+                trial.parts.add(part)
+                self.evidence.count(service, name, f'{outcome} {part}')
 
     def add_time(
         self, service: str, version: str, route: str, time_s: float
@@ -281,14 +216,17 @@
         )
         return times
 
-    def summary(self, order: Order) -> dict[str, float]:
+    def summary(self, order: Order) -> dict[str, float | str]:
         """Return the evidence on a new version, for logs."""
         good, bad = self._counts(order.service, order.version)
         old_good, old_bad = self._counts(
             order.service, _OLD_PREFIX + order.version
         )
         new, old = self.times(order)['']
+        trial = self._trials.get(order.service)
+        finding = trial.finding if trial else None
         return {
+            **(finding.fields() if finding else {}),
             'good': good,
             'bad': bad,
             'old_good': old_good,
@@ -302,6 +240,32 @@
         trial = self._trials.get(service)
         return trial is not None and trial.moving
 
+    def parts(self, order: Order) -> Parts:
+        """Return the answers of both versions by part of the requests."""
+        names = self.evidence.names(order.service, order.version)
+        parts = {version_failures.ALL} | {
+            name.removeprefix(prefix)
+            for prefix in ('good ', 'bad ')
+            for name in names
+            if name.startswith(prefix)
+        }
+        old_name = _OLD_PREFIX + order.version
+        return {
+            part: Comparison(
+                self._answers(order.service, order.version, part),
+                self._answers(order.service, old_name, part),
+            )
+            for part in sorted(parts)
+        }
+
+    def _answers(self, service: str, version: str, part: str) -> Answers:
+        suffix = f' {part}' if part else ''
+        good, bad = (
+            self.evidence.total(service, version, outcome + suffix)
+            for outcome in ('good', 'bad')
+        )
+        return Answers(bad, good + bad)
+
     def _times(self, service: str, version: str, route: str) -> Times:
         total = self.evidence.total
         return Times(
@@ -340,9 +304,15 @@
         order = trial.order
         good, bad = self._counts(order.service, order.version)
         times = self.times(order)
-        if self._is_bad(order, good, bad) or any(
-            version_pace.is_slower(new, old, trial.moving)
-            for new, old in times.values()
+        parts = self.parts(order)
+        trial.finding = trial.failures.find(parts, now_s)
+        if (
+            trial.finding
+            or self._is_bad(order, good, bad)
+            or any(
+                version_pace.is_slower(new, old, trial.moving)
+                for new, old in times.values()
+            )
         ):
             trial.verdict = State.ROLLED_BACK
             return
@@ -350,16 +320,18 @@
         enough = good + bad >= MIN_ANSWERS
         # An instance that started lately has seen the order later than others.
         due = elapsed >= MOVE_AFTER_SHARE or self._others_move(order)
-        doubtful = version_pace.is_doubtful(*times[''])
+        failing = version_failures.is_doubtful(parts)
+        doubtful = failing or version_pace.is_doubtful(*times[''])
         if due and enough and not doubtful and not trial.moving:
             trial.moving = True
             self.evidence.count(order.service, order.version, _MOVING)
-        if trial.moving and not old_busy and elapsed >= MOVE_AFTER_SHARE + 0.1:
+        proven = version_failures.is_proven(parts)
+        final = elapsed >= MOVE_AFTER_SHARE + 0.1 and proven and not old_busy
+        if trial.moving and final:
             trial.verdict = State.COMPLETED
         elif elapsed >= DECIDE_AFTER_SHARE:
-            trial.verdict = (
-                State.COMPLETED if trial.moving else State.ROLLED_BACK
-            )
+            completed = trial.moving and not failing
+            trial.verdict = State.COMPLETED if completed else State.ROLLED_BACK
 
     def _others_move(self, order: Order) -> bool:
         return self.evidence.total(order.service, order.version, _MOVING) > 0
