Decode bytes from outside at one boundary that lets nothing through

With 401 digits nothing was served, with a port of 99999 channels closed.

Cause: each decoder caught the exceptions that it expected. OverflowError, RecursionError and a ValueError for the whole listing left callbacks of the event loop and the threads that read the store, and what came after them never ran.

Fields are finite, exact and bounded, addresses can be connected to, Slots must be there. What is read from peers is decoded whole before anything changes. Tasks and threads go on after an unexpected error, which event 110 reports. Numbers in headers are bounded ASCII digits.

--- a/tests/fakes/forwarding.py
+++ b/tests/fakes/forwarding.py
@@ -168,8 +168,20 @@
     served.answer()
 
 
+def decode_target(entry):
+    """Return the target of an entry, or raise what it tells to."""
+    raise_if_told(entry)
+    return entry.value['target']
+
+
+def raise_if_told(entry):
+    if 'raises' in entry.value:
+        raise entry.value['raises']('odd')
+
+
 def decode_order(entry):
     """Return the order of an entry, in the state of its status."""
+    raise_if_told(entry)
     state = State((entry.status or {}).get('state', State.RUNNING.value))
     return Order(entry.name, 's', 'v2', entry.value['duration_s'], state)
 
@@ -225,6 +237,11 @@
     def _record(self, event, **fields):
         self.events.append((event.name, fields))
 
+    def entry_of(self, name):
+        """Return the target of a name, as it is stored."""
+        (target,) = (t for t in self.targets if t.name == name)
+        return self._entry(target)['target']
+
     def _entry(self, target):
         number = self.targets.index(target)
         version = self.versions[number] if self.versions else ''
@@ -239,13 +256,13 @@
             table_name='main',
             decode_table=lambda value: value['table'],
             targets_kind='targets',
-            decode_target=lambda entry: entry.value['target'],
+            decode_target=decode_target,
             orders_kind='orders',
             decode_order=decode_order,
             encode_order=lambda _order, state: {'state': state.value},
             instances_kind='instances',
             writer_version=lambda entry: (
-                entry.value['table'].version if entry.kind == 'table' else 0
+                entry.value['table'].version if 'table' in entry.value else 0
             ),
             ready_path=b'/ready',
         )
--- a/tests/fakes/metadata_store.py
+++ b/tests/fakes/metadata_store.py
@@ -92,7 +92,10 @@
             status = _STATUSES.get(outcome.err_value.kind, 500)
         else:
             value = encode(outcome.ok_value)
-        data = json.dumps(value).encode()
+        text = json.dumps(value)
+        for name, raw in self.server.raw.items():
+            text = text.replace(json.dumps({'raw': name}), raw)
+        data = text.encode()
         self.send_response(status)
         self.send_header('Content-Length', str(len(data)))
         self.send_header('Store-Era', str(self.server.objects.era))
@@ -115,6 +118,9 @@
         )
         self._server.daemon_threads = True
         self._server.objects = self.objects
+        # JSON texts by name; they replace values of {'raw': name}.
+        self.raw: dict[str, str] = {}
+        self._server.raw = self.raw
         self.address = f'127.0.0.1:{self._server.server_port}'
 
     def __enter__(self):
--- /dev/null
+++ b/tests/forwarding/test_odd_values.py
@@ -0,0 +1,184 @@
+"""Tests that odd values of other writers and peers stop nothing else."""
+
+import asyncio
+import json
+import threading
+import time
+import zlib
+
+import attrs
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from tests.fakes.forwarding import answer_ok
+from tests.fakes.forwarding import Harness
+from tests.fakes.object_store import MemoryObjects
+from tests.forwarding.test_peers import STATE
+from wigeonfall.forwarding import background_tasks
+from wigeonfall.forwarding import peer_news
+from wigeonfall.forwarding import peer_state
+from wigeonfall.forwarding.peers import Peers
+from wigeonfall.forwarding.store_view import StoreView
+from wigeonfall.forwarding import store_watcher
+
+ERRORS = (OverflowError, RecursionError, KeyError, AttributeError)
+ODD_JSON = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.just(10**400)
+    | st.floats()
+    | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=5,
+)
+TASK_TIMEOUT_S = 5.0
+
+
+@pytest.mark.parametrize('error', ERRORS)
+@pytest.mark.parametrize('kind', ['targets', 'orders', 'table'])
+def test_an_entry_that_cannot_be_decoded_leaves_the_others(kind, error):
+    """After one with the number 1e999, no change of targets was followed."""
+
+    async def scenario():
+        async with Harness(answer_ok, answer_ok) as site:
+            site.store.put(kind, 'odd', {'raises': error})
+            site.store.put('targets', 't1', {'target': site.entry_of('t1')})
+            site.leave(site.targets[0])
+            async with asyncio.timeout(TASK_TIMEOUT_S):
+                while len(site.targets[1].served) < 5:
+                    assert (await site.ask('/safe/x'))[0] == 200
+                    await asyncio.sleep(0.05)
+            unreadable = {
+                fields['object']
+                for name, fields in site.events
+                if name == 'OBJECT_UNREADABLE'
+            }
+            # An entry of another name is no table, whatever it holds.
+            assert unreadable == (set() if kind == 'table' else {'odd'})
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    'address',
+    ['127.0.0.1:99999', '127.0.0.1:0', '127.0.0.1:-1', 'a\0b:1', 'x' * 300],
+)
+def test_a_target_that_cannot_be_dialled_is_backed_off_from(address):
+    """Orders were read and their channels closed without an answer."""
+
+    async def scenario():
+        async with Harness(answer_ok, answer_ok) as site:
+            site.store.put('targets', 't0', {'target': site.entry_of('t0')})
+            site.targets[0].address = address
+            site.store.put('targets', 't0', {'target': site.entry_of('t0')})
+            await asyncio.sleep(0.3)
+            for number in range(8):
+                answer = await site.ask('/safe/x', request_id=f'id-{number}')
+                assert answer[0] == 200
+            assert any(name == 'TARGET_BACKED_OFF' for name, _ in site.events)
+
+    asyncio.run(scenario())
+
+
+@given(
+    st.sampled_from(sorted(f.name for f in attrs.fields(type(STATE)))),
+    ODD_JSON,
+)
+def test_a_state_with_any_value_is_decoded_or_refused(name, value):
+    fields = json.loads(zlib.decompress(peer_state.encode(STATE)))
+    fields[name] = value
+    data = zlib.compress(json.dumps(fields).encode())
+    try:
+        state = peer_state.decode(data)
+    except ValueError:
+        return
+    Peers('10.0.0.1:7').receive(state, 0.0)
+
+
+@given(
+    st.sampled_from(['lost', 'answered', 'held', 'rates', 'name']), ODD_JSON
+)
+def test_news_with_any_value_are_decoded_or_refused(name, value):
+    data = peer_news.encode(peer_news.PeerNews('i2', 5))
+    fields = json.loads(zlib.decompress(data[1:]))
+    fields[name] = value
+    data = peer_news.PREFIX + zlib.compress(json.dumps(fields).encode())
+    try:
+        peer_news.decode(data)
+    except ValueError:
+        pass
+
+
+def test_addresses_that_nothing_can_be_sent_to_are_not_kept():
+    """Sending to a port out of range ended the exchange with all peers."""
+    peers = Peers('10.0.0.1:7')
+    odd = ('10.0.0.2:99999', 'a\0b:7', ':7', 'x' * 300 + ':7', '10.0.0.2')
+    peers.add_addresses((*odd, '10.0.0.3:7'))
+    assert peers.addresses() == ('10.0.0.3:7',)
+
+
+@pytest.mark.parametrize('part', ['objects', 'revision', 'era'])
+@given(value=ODD_JSON)
+def test_a_snapshot_with_any_value_changes_all_or_nothing(part, value):
+    view = StoreView(('k', 'l'), lambda _k: True, lambda _o: 0, print)
+    sound = {'era': 1, 'revision': 5, 'objects': []}
+    snapshot = {'k': sound, 'l': sound | {part: value}}
+    try:
+        view.apply_snapshot(snapshot)
+    except ValueError:
+        assert not view.is_loaded('k') and not view.is_loaded('l')
+
+
+def test_a_watch_goes_on_after_an_unexpected_error():
+    """The only thread that watched the kind ended."""
+    objects = MemoryObjects()
+    port = objects.port()
+    raised = []
+
+    def list_once(kind, stale):
+        if not raised:
+            raised.append(kind)
+            raise RecursionError('deep')
+        return port.list(kind, stale)
+
+    listed, stopping = threading.Event(), threading.Event()
+    events = []
+    thread = store_watcher.start(
+        store_watcher.StoreWatcher(
+            kind='k',
+            get_store=lambda: attrs.evolve(port, list=list_once),
+            on_listing=lambda *_args: listed.set(),
+            on_changes=lambda *_args: None,
+            on_reachable=lambda _reachable: None,
+            is_enabled=lambda: True,
+            settle_s=lambda: 0.0,
+            record=lambda event, **fields: events.append((event, fields)),
+            stopping=stopping,
+        )
+    )
+    assert listed.wait(TASK_TIMEOUT_S)
+    stopping.set()
+    objects.put('k', 'wakes the watch', {})
+    thread.join(TASK_TIMEOUT_S)
+    assert 'deep' in events[0][1]['detail']
+
+
+def test_a_background_task_that_fails_starts_again(monkeypatch):
+    monkeypatch.setattr(background_tasks, 'RESTART_DELAY_S', 0.01)
+    events = []
+    runs = []
+
+    async def run():
+        runs.append(time.monotonic())
+        if len(runs) < 3:
+            raise OverflowError('too large')
+
+    asyncio.run(
+        background_tasks.keep_running(
+            'task', run, lambda event, **fields: events.append(fields)
+        )
+    )
+    assert len(runs) == 3
+    assert [fields['task'] for fields in events] == ['task', 'task']
--- /dev/null
+++ b/tests/test_decoding.py
@@ -0,0 +1,108 @@
+"""Tests of turning bytes from outside into values."""
+
+import json
+import math
+import time
+import zlib
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+from result import Err
+from result import Ok
+
+from wigeonfall import decoding
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=20,
+)
+
+
+@given(JSON)
+def test_ordinary_values_are_read_unchanged(value):
+    assert decoding.loads(json.dumps(value).encode()) == value
+    assert decoding.loads(json.dumps(value, ensure_ascii=False)) == value
+
+
+@given(st.binary(max_size=80))
+def test_any_bytes_are_json_or_a_value_error(data):
+    try:
+        decoding.loads(data)
+    except ValueError:
+        pass
+
+
+@pytest.mark.parametrize('depth', [20_000, 500_000])
+def test_deep_values_are_null_and_leave_the_others(depth):
+    """One such entry made a whole listing unreadable."""
+    deep = '[' * depth + '{"a": "]"}' + ']' * depth
+    text = '{"before": ["[", 1], "deep": %s, "after": {"x": 2}}' % deep
+    value = decoding.loads(text.encode())
+    while isinstance(value['deep'], list):
+        (value['deep'],) = value['deep']  # as deep as is allowed
+    assert value == {'before': ['[', 1], 'deep': None, 'after': {'x': 2}}
+
+
+def test_deep_values_without_end_are_an_error_in_linear_time():
+    times_s = []
+    for size in (100_000, 800_000):
+        started_s = time.process_time()
+        with pytest.raises(ValueError):
+            decoding.loads('[' * size)
+        times_s.append(time.process_time() - started_s)
+    assert times_s[1] < 64 * max(times_s[0], 0.001)
+
+
+@pytest.mark.parametrize('digits', [401, 5000, 100_000])
+def test_numbers_of_many_digits_are_infinite(digits):
+    number = '9' * digits
+    assert decoding.loads(f'[{number}, -{number}, 1e999, 7]') == [
+        math.inf,
+        -math.inf,
+        math.inf,
+        7,
+    ]
+
+
+def test_bytes_that_are_no_text_are_replaced():
+    assert decoding.loads(b'{"a": "\xff", "b": 1}') == {'a': '\ufffd', 'b': 1}
+
+
+@pytest.mark.parametrize(
+    'error', [ValueError('v'), OverflowError('o'), RecursionError('r')]
+)
+def test_whatever_a_decoder_raises_is_returned(error):
+    def decoder(_source):
+        raise error
+
+    assert isinstance(decoding.decode(decoder, 1), Err)
+    assert decoding.decode(str, 1) == Ok('1')
+
+
+def test_a_datagram_is_inflated_up_to_a_limit():
+    """64 KB may hold 64 MB of zeros."""
+    data = zlib.compress(bytes(1000))
+    assert decoding.inflate(data, 1000) == bytes(1000)
+    for bad, limit in ((data, 999), (data[:-5], 1000), (b'x', 1000)):
+        with pytest.raises(ValueError):
+            decoding.inflate(bad, limit)
+
+
+@pytest.mark.parametrize(
+    ('text', 'number'),
+    [
+        ('17', 17),
+        ('007', 7),
+        ('9' * 5000, 1000),
+        ('1001', 1000),
+        ('', None),
+        ('-1', None),
+        ('1.0', None),
+        ('\u00b2', None),
+        ('\u0663', None),
+    ],
+)
+def test_whole_numbers_are_ascii_digits(text, number):
+    assert decoding.whole_number(text, 1000) == number
--- a/wigeonfall/adapters/object_http.py
+++ b/wigeonfall/adapters/object_http.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Mapping
 import http
-import json
 import socket
 from typing import Any
 
@@ -12,6 +11,7 @@
 from result import Result
 import urllib3
 
+from .. import decoding
 from ..ports.platform import PlatformError
 from ..ports.platform import PlatformErrorKind
 
@@ -133,7 +133,7 @@
         kind = _KIND_OF_STATUS.get(response.status, PlatformErrorKind.INVALID)
         return Err(PlatformError(kind, f'status {response.status}'))
     try:
-        value = json.loads(response.data or b'{}')
+        value = decoding.loads(response.data or b'{}')
         return Ok(Answer(value, response.headers))
     except ValueError as error:
         return Err(_unavailable(str(error), effect_unknown=writes))
@@ -145,8 +145,8 @@
     )
 
 
-def invalid(error: Exception) -> PlatformError:
+def invalid(detail: str) -> PlatformError:
     """Return the error for an answer that cannot be read."""
     return PlatformError(
-        PlatformErrorKind.INVALID, f'unreadable answer: {error!r}'
+        PlatformErrorKind.INVALID, f'unreadable answer: {detail}'
     )
--- a/wigeonfall/adapters/platform.py
+++ b/wigeonfall/adapters/platform.py
@@ -100,7 +100,7 @@
     try:
         return Ok(_to_object(value))
     except (KeyError, TypeError, ValueError) as error:
-        return Err(invalid(error))
+        return Err(invalid(repr(error)))
 
 
 def _read_items(
@@ -109,7 +109,7 @@
     try:
         return Ok(tuple(_to_object(item) for item in value['items']))
     except (KeyError, TypeError, ValueError) as error:
-        return Err(invalid(error))
+        return Err(invalid(repr(error)))
 
 
 def _to_object(value: dict[str, Any]) -> StoredObject:
@@ -133,7 +133,7 @@
             )
         )
     except (KeyError, TypeError, ValueError) as error:
-        return Err(invalid(error))
+        return Err(invalid(repr(error)))
 
 
 def _to_instance(item: dict[str, Any]) -> Instance:
--- a/wigeonfall/events.py
+++ b/wigeonfall/events.py
@@ -20,6 +20,7 @@
     SETTINGS_REFUSED = (106, logging.ERROR, 'settings invalid')
     MACHINE_SUSPENDED = (107, logging.WARNING, 'machine was suspended')
     LOG_LINES_DROPPED = (109, logging.WARNING, 'log lines dropped')
+    TASK_FAILED = (110, logging.ERROR, 'background task failed')
     LISTEN_FAILED = (108, logging.ERROR, 'cannot listen on address')
 
     REQUEST_ANSWERED = (201, logging.INFO, 'request answered')
--- a/wigeonfall/forwarding/arbiter_messages.py
+++ b/wigeonfall/forwarding/arbiter_messages.py
@@ -14,11 +14,15 @@
 import zlib
 
 import attrs
+from result import Err
+
+from .. import decoding
 
 # First byte of a message; the state of a peer begins with a different one.
 PLAIN_PREFIX = b'['
 COMPRESSED_PREFIX = b'~'
 COMPRESS_ABOVE_BYTES = 4000  # keeps long messages below the datagram limit
+MAX_MESSAGE_BYTES = 4 << 20  # once decompressed
 _COMPRESSION_LEVEL = 1  # fastest, as messages are small and frequent
 
 
@@ -237,17 +241,23 @@
     Raises:
         ValueError: the bytes are not a valid message.
     """
-    try:
-        if data.startswith(COMPRESSED_PREFIX):
-            data = zlib.decompress(data[len(COMPRESSED_PREFIX) :])
-        kind, *values = json.loads(data)
-        if kind == 'asking':
-            return _client_state(*values)
-        if kind == 'answering':
-            return _arbiter_decisions(*values)
-    except (TypeError, zlib.error) as error:
-        raise ValueError(f'invalid arbiter message: {error!r}') from error
-    raise ValueError(f'unknown kind of arbiter message: {kind!r}')
+    decoded = decoding.decode(_decode, data)
+    if isinstance(decoded, Err):
+        raise ValueError(f'invalid arbiter message: {decoded.err_value}')
+    return decoded.ok_value
+
+
+def _decode(data: bytes) -> ClientState | ArbiterDecisions:
+    if data.startswith(COMPRESSED_PREFIX):
+        data = decoding.inflate(
+            data[len(COMPRESSED_PREFIX) :], MAX_MESSAGE_BYTES
+        )
+    kind, *values = decoding.loads(data)
+    if kind == 'asking':
+        return _client_state(*values)
+    if kind == 'answering':
+        return _arbiter_decisions(*values)
+    raise ValueError(f'unknown kind {kind!r}')
 
 
 def _client_state(
--- a/wigeonfall/forwarding/cluster_state.py
+++ b/wigeonfall/forwarding/cluster_state.py
@@ -4,6 +4,9 @@
 import time
 from typing import TypeVar
 
+from result import Err
+
+from .. import decoding
 from ..events import Event
 from ..model.target import Target
 from ..policy.load_balancer import LoadBalancer
@@ -145,11 +148,11 @@
         for item in self.view.objects(self._adapter.table_kind):
             if item.name != self._adapter.table_name:
                 continue
-            try:
-                table = self._adapter.decode_table(item.value)
-            except ValueError as error:
-                self._record_unreadable(item, error)
+            decoded = decoding.decode(self._adapter.decode_table, item.value)
+            if isinstance(decoded, Err):
+                self._record_unreadable(item, decoded.err_value)
                 continue
+            table = decoded.ok_value
             current = (
                 self.routing_index.table.version if self.routing_index else -1
             )
@@ -168,19 +171,18 @@
         """Return the decoded objects of a kind, without unreadable ones."""
         values = []
         for item in self.view.objects(kind):
-            try:
-                values.append(decode(item))
-            except ValueError as error:
-                self._record_unreadable(item, error)
+            decoded = decoding.decode(decode, item)
+            if isinstance(decoded, Err):
+                self._record_unreadable(item, decoded.err_value)
+            else:
+                values.append(decoded.ok_value)
         return values
 
-    def _record_unreadable(
-        self, item: StoredObject, error: ValueError
-    ) -> None:
+    def _record_unreadable(self, item: StoredObject, detail: str) -> None:
         self._record(
             Event.OBJECT_UNREADABLE,
             kind=item.kind,
             object=item.name,
             version=item.version,
-            detail=str(error),
+            detail=detail,
         )
--- a/wigeonfall/forwarding/exchange.py
+++ b/wigeonfall/forwarding/exchange.py
@@ -12,6 +12,7 @@
 import time
 
 from ..errors import WigeonfallError
+from ..model import address as address_module
 from .answer_buffers import AnswerBuffers
 from .answer_buffers import HeldAnswer
 from .framing import READ_BYTES
@@ -249,14 +250,14 @@
         return None
 
     async def _connect(self, address: str) -> TargetConnection:
-        host, _, port = address.rpartition(':')
         loop = asyncio.get_running_loop()
         try:
+            host, port = address_module.parse(address)
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
                     lambda: TargetConnection(self._read_buffer),
                     host,
-                    int(port),
+                    port,
                 )
         except (OSError, ValueError) as error:
             message = f'no connection: {error!r}'
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -1,11 +1,13 @@
 """Assembles the components of an instance and connects them."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
 import threading
 import time
 from typing import Any
 
+from . import background_tasks
 from . import call_handler
 from . import customer_quotas
 from ..events import Event
@@ -160,12 +162,18 @@
 
     def loops(self) -> tuple[Coroutine[Any, Any, None], ...]:
         """Return the coroutines that run until the process stops."""
+        tasks: dict[str, Callable[[], Coroutine[Any, Any, None]]] = {
+            'scheduler': self._scheduler.run,
+            'slot client': self._slot_client.run,
+            'snapshot sync': lambda: snapshot_sync.run(self._snapshot_sync),
+            'rollouts': self._rollouts.run,
+        }
         return (
-            self._scheduler.run(),
-            self._slot_client.run(),
             self._run_peer_link(),
-            snapshot_sync.run(self._snapshot_sync),
-            self._rollouts.run(),
+            *(
+                background_tasks.keep_running(name, run, self.record)
+                for name, run in tasks.items()
+            ),
         )
 
     def start(
@@ -353,4 +361,6 @@
         await loop.create_datagram_endpoint(
             lambda: self._link, local_addr=(host, int(port))
         )
-        await self._link.run()
+        await background_tasks.keep_running(
+            'peer link', self._link.run, self.record
+        )
--- a/wigeonfall/forwarding/internal_pages.py
+++ b/wigeonfall/forwarding/internal_pages.py
@@ -8,6 +8,7 @@
 import time
 from typing import Any, TypeAlias
 
+from .. import decoding
 from .caller_server import Call
 from .caller_server import HandleCall
 from .caller_server import Reply
@@ -98,7 +99,7 @@
     except TimeoutError as error:
         raise ExchangeError('peer timed out', sent=True) from error
     try:
-        value = json.loads(body or b'')
+        value = decoding.loads(body or b'')
     except ValueError as error:
         raise ExchangeError('snapshot is not JSON', sent=True) from error
     if not isinstance(value, dict):
--- a/wigeonfall/forwarding/peer_news.py
+++ b/wigeonfall/forwarding/peer_news.py
@@ -12,7 +12,10 @@
 import zlib
 
 import attrs
+from result import Err
 
+from .. import decoding
+from . import message_fields
 from ..policy.quarantine import PartNews
 from ..policy.quarantine import Suspect
 from ..policy.target_rates import RateNews
@@ -26,6 +29,7 @@
 HUB_MIN_TARGETS = 2
 # First byte of a message; states and messages of arbiters begin otherwise.
 PREFIX = b'#'
+MAX_NEWS_BYTES = 4 << 20  # of a datagram, once decompressed
 _COMPRESSION_LEVEL = 1  # fastest, as messages are small and frequent
 
 
@@ -138,32 +142,29 @@
     Raises:
         ValueError: the bytes are not a valid message.
     """
-    try:
-        fields: dict[str, Any] = json.loads(
-            zlib.decompress(data[len(PREFIX) :])
-        )
-        return PeerNews(
-            name=str(fields['name']),
-            incarnation=int(fields['incarnation']),
-            parts=_parts(fields),
-            rates={
-                target: RateNews(
-                    None if per_s is None else _not_negative(per_s),
-                    _not_negative(age_s),
-                    int(sent),
-                )
-                for target, (per_s, age_s, sent) in fields['rates'].items()
-            },
-        )
-    except (
-        AttributeError,
-        KeyError,
-        OverflowError,
-        TypeError,
-        ValueError,
-        zlib.error,
-    ) as error:
-        raise ValueError(f'invalid news of a peer: {error!r}') from error
+    decoded = decoding.decode(_decode, data)
+    if isinstance(decoded, Err):
+        raise ValueError(f'invalid news of a peer: {decoded.err_value}')
+    return decoded.ok_value
+
+
+def _decode(data: bytes) -> PeerNews:
+    fields: dict[str, Any] = decoding.loads(
+        decoding.inflate(data[len(PREFIX) :], MAX_NEWS_BYTES)
+    )
+    return PeerNews(
+        name=message_fields.text(fields['name']),
+        incarnation=message_fields.whole(fields['incarnation']),
+        parts=_parts(fields),
+        rates={
+            target: RateNews(
+                None if per_s is None else _not_negative(per_s),
+                _not_negative(age_s),
+                message_fields.whole(sent),
+            )
+            for target, (per_s, age_s, sent) in fields['rates'].items()
+        },
+    )
 
 
 def _parts(fields: dict[str, Any]) -> PartNews:
@@ -171,7 +172,7 @@
         lost={
             part: Suspect(
                 {t: _not_negative(age_s) for t, age_s in lost_s.items()},
-                frozenset(companions),
+                frozenset(map(message_fields.text, companions)),
             )
             for part, (lost_s, companions) in fields['lost'].items()
         },
@@ -180,14 +181,14 @@
             for part, age_s in fields['answered'].items()
         },
         held={
-            part: (int(number), _not_negative(age_s))
+            part: (message_fields.whole(number), _not_negative(age_s))
             for part, (number, age_s) in fields['held'].items()
         },
     )
 
 
 def _not_negative(value: Any) -> float:
-    number = float(value)
-    if not 0 <= number < float('inf'):
+    number = message_fields.number(value)
+    if number < 0:
         raise ValueError(f'{value!r} is not a number from 0 on')
     return number
--- a/wigeonfall/forwarding/peer_state.py
+++ b/wigeonfall/forwarding/peer_state.py
@@ -1,14 +1,20 @@
 """The state that an instance sends to its peers, and its encoding."""
 
+from collections.abc import Callable
 import json
 from typing import Any
 import zlib
 
 import attrs
+from result import Err
 
+from .. import decoding
+from . import message_fields
+from ..model import address as address_module
 from ..policy.moving_average import PeerAverage
 from ..policy.target_stats import TargetLoad
 
+MAX_STATE_BYTES = 4 << 20  # of a datagram, once decompressed
 _COMPRESSION_LEVEL = 1  # fastest, as messages are small and frequent
 
 
@@ -78,26 +84,69 @@
     Raises:
         ValueError: the bytes are not a valid state.
     """
-    try:
-        fields: dict[str, Any] = json.loads(zlib.decompress(data))
-        fields['targets'] = {
-            name: _target_load(*values)
-            for name, values in fields['targets'].items()
-        }
-        fields['waiting'] = {
-            service: {int(rank): int(n) for rank, n in counts.items()}
-            for service, counts in fields['waiting'].items()
+    decoded = decoding.decode(_decode, data)
+    if isinstance(decoded, Err):
+        raise ValueError(f'invalid peer state: {decoded.err_value}')
+    return decoded.ok_value
+
+
+def _decode(data: bytes) -> PeerState:
+    fields: dict[str, Any] = decoding.loads(
+        decoding.inflate(data, MAX_STATE_BYTES)
+    )
+    return PeerState(
+        **{name: _CHECKS[name](value) for name, value in fields.items()}
+    )
+
+
+def _target_loads(value: Any) -> dict[str, TargetLoad]:
+    return {
+        name: _target_load(
+            message_fields.whole(load[0]),
+            *map(message_fields.number, load[1:]),
+        )
+        for name, load in value.items()
+    }
+
+
+def _waiting(value: Any) -> dict[str, dict[int, int]]:
+    return {
+        service: {
+            int(rank): message_fields.whole(count)
+            for rank, count in counts.items()
         }
-        fields['peers'] = tuple(fields['peers'])
-        return PeerState(**fields)
-    except (
-        AttributeError,
-        KeyError,
-        TypeError,
-        ValueError,
-        zlib.error,
-    ) as error:
-        raise ValueError(f'invalid peer state: {error!r}') from error
+        for service, counts in value.items()
+    }
+
+
+def _addresses(value: Any) -> tuple[str, ...]:
+    return tuple(message_fields.text(address) for address in value)
+
+
+def _address(value: Any) -> str:
+    address_module.parse(message_fields.text(value))
+    return value
+
+
+_CHECKS: dict[str, Callable[[Any], Any]] = {
+    'name': message_fields.text,
+    'incarnation': message_fields.whole,
+    'sequence': message_fields.whole,
+    'address': _address,
+    'targets': _target_loads,
+    'waiting': _waiting,
+    'age_s': message_fields.number,
+    'taken': message_fields.mapping(message_fields.number),
+    'used': message_fields.mapping(message_fields.number),
+    'revisions': message_fields.mapping(message_fields.whole),
+    'peers': _addresses,
+    'data_center': message_fields.text,
+    'capacity': message_fields.number,
+    'instances': message_fields.whole,
+    'leaving': message_fields.flag,
+    'store_reachable': message_fields.flag,
+    'evidence': message_fields.mapping(message_fields.whole),
+}
 
 
 def _rounded(said: PeerAverage) -> tuple[float, float]:
--- a/wigeonfall/forwarding/peers.py
+++ b/wigeonfall/forwarding/peers.py
@@ -13,6 +13,7 @@
 
 from . import arbiter_messages
 from ..events import Event
+from ..model import address as address_module
 from . import peer_news
 from . import peer_state
 from ..policy.arbiters import Candidate
@@ -61,8 +62,12 @@
         self._fleet_counted_s = float('-inf')
 
     def add_addresses(self, addresses: tuple[str, ...]) -> None:
-        """Add addresses at which there may be peers."""
-        self._addresses.update(addresses)
+        """Add addresses at which there may be peers, if they are valid."""
+        self._addresses.update(
+            address
+            for address in addresses
+            if address not in self._addresses and _is_valid(address)
+        )
         self._addresses.discard(self._own_address)
 
     def addresses(self) -> tuple[str, ...]:
@@ -299,5 +304,17 @@
     def _send(self, data: bytes, address: str) -> None:
         if self._transport is None:
             return
-        host, _, port = address.rpartition(':')
-        self._transport.sendto(data, (host, int(port)))
+        try:
+            recipient = address_module.parse(address)
+        except ValueError as error:
+            self._record(Event.MESSAGE_NOT_SENT, detail=str(error))
+            return
+        self._transport.sendto(data, recipient)
+
+
+def _is_valid(address: str) -> bool:
+    try:
+        address_module.parse(address)
+    except ValueError:
+        return False
+    return True
--- a/wigeonfall/forwarding/process.py
+++ b/wigeonfall/forwarding/process.py
@@ -1,18 +1,22 @@
 """Starts, runs and gracefully stops the process of an instance."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
 import pathlib
 import signal
 import sys
 import threading
 import time
+from typing import Any
 
 import prometheus_client
 from result import Err
 
 from .. import clock
 from .. import recorder as recorder_module
+from . import background_tasks
 from . import caller_server
 from ..events import Event
 from ..ini import Faults
@@ -109,8 +113,8 @@
             for coroutine in (
                 *self._instance.loops(),
                 self._announce_ready(),
-                self._watch_settings(),
-                self._maintain(),
+                self._keep_running('settings', self._watch_settings),
+                self._keep_running('maintenance', self._maintain),
             )
         ]
         await self._stopping.wait()
@@ -120,6 +124,11 @@
             task.cancel()
         self._record(Event.STOP_FINISHED)
 
+    def _keep_running(
+        self, name: str, run: Callable[[], Awaitable[None]]
+    ) -> Coroutine[Any, Any, None]:
+        return background_tasks.keep_running(name, run, self._record)
+
     def _make_context(self) -> ServerContext:
         return ServerContext(
             handle=self._instance.handle,
--- a/wigeonfall/forwarding/registration.py
+++ b/wigeonfall/forwarding/registration.py
@@ -64,7 +64,12 @@
 def _run(registration: Registration) -> None:
     era: int | None = None
     while not registration.stopping.is_set():
-        era = _refresh(registration, era)
+        try:
+            era = _refresh(registration, era)
+        except Exception as unexpected:
+            # Without the thread, the entry would be written no more.
+            _record_failure(registration, repr(unexpected))
+            era = None
         if era is None:
             registration.stopping.wait(RETRY_INTERVAL_S)
         elif _wait_for_restore(registration, era):
--- a/wigeonfall/forwarding/rollouts.py
+++ b/wigeonfall/forwarding/rollouts.py
@@ -6,7 +6,9 @@
 from typing import Any
 
 import attrs
+from result import Err
 
+from .. import decoding
 from ..events import Event
 from ..model.target import Target
 from ..policy.load_balancer import LoadBalancer
@@ -130,11 +132,11 @@
         for item in self.entries():
             if item.name != order.name:
                 continue
-            try:
-                stored = self.decode(item)
-            except ValueError:
+            decoded = decoding.decode(self.decode, item)
+            if isinstance(decoded, Err):
                 # Recorded when the entry arrived.
                 return None
+            stored = decoded.ok_value
             return item if stored.version == order.version else None
         return None
 
--- a/wigeonfall/forwarding/routed_request.py
+++ b/wigeonfall/forwarding/routed_request.py
@@ -8,6 +8,7 @@
 from result import Ok
 from result import Result
 
+from .. import decoding
 from ..model.routing import KeyHolder
 from ..model.routing import Route
 from ..policy import routing
@@ -16,6 +17,7 @@
 from .caller_server import Headers
 from .header_names import HeaderNames
 
+MAX_NUMBER = 2**53  # in headers of callers; larger ones count as this
 ROUTE_RANKS = 16  # ranks of routes within one rank of customers
 _HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -205,18 +207,19 @@
 
 def _time_left_s(call: Call, names: HeaderNames, route: Route) -> float:
     value = call.header(names.time_left_ms.lower())
-    if value.isdigit():
-        return int(value) / 1000
-    return route.timeout_s
+    left_ms = decoding.whole_number(value, MAX_NUMBER)
+    return route.timeout_s if left_ms is None else left_ms / 1000
 
 
 def _token_counts(call: Call, names: HeaderNames) -> tuple[int, int]:
     value = call.header(names.token_counts.lower())
     first, _, second = value.partition(b',')
     first, second = first.strip(), second.strip()
-    if first.isdigit() and second.isdigit():
-        return int(first), int(second)
-    return 0, 0
+    prompt = decoding.whole_number(first, MAX_NUMBER)
+    answer = decoding.whole_number(second, MAX_NUMBER)
+    if prompt is None or answer is None:
+        return 0, 0
+    return prompt, answer
 
 
 def _prompt_parts(call: Call, names: HeaderNames) -> tuple[str, ...]:
--- a/wigeonfall/forwarding/snapshot_sync.py
+++ b/wigeonfall/forwarding/snapshot_sync.py
@@ -131,7 +131,7 @@
             context.connections, state.address, path
         )
         kinds = context.view.apply_snapshot(value)
-    except (ExchangeError, KeyError, TypeError) as error:
+    except (ExchangeError, ValueError) as error:
         context.record(
             Event.MESSAGE_UNREADABLE, peer=state.name, detail=repr(error)
         )
--- a/wigeonfall/forwarding/store_view.py
+++ b/wigeonfall/forwarding/store_view.py
@@ -12,7 +12,9 @@
 from ..ports.objects import Listing
 from ..ports.platform import StoredObject
 from ..recorder import Record
+from . import snapshots
 from . import store_position
+from .snapshots import KindSnapshot
 from .store_position import Position
 
 # Objects named in an event; an object that is lost is in all later ones too.
@@ -307,34 +309,21 @@
             The kinds that were replaced.
 
         Raises:
-            KeyError: a field of the snapshot is missing.
-            TypeError: a value of the snapshot has another type.
+            ValueError: the snapshot cannot be read; nothing has changed.
         """
-        replaced = []
-        for kind, item in value.items():
-            if kind not in self._kinds:
-                continue
-            objects = [StoredObject(**fields) for fields in item['objects']]
-            position = Position(item.get('era', 0), item['revision'])
-            # Releases before this field tell the newest change alone.
-            read_revision = item.get('read_revision', position.revision)
-            if self._apply_peer_objects(
-                kind, objects, position, read_revision
-            ):
-                replaced.append(kind)
+        replaced = [
+            kind
+            for kind, snapshot in snapshots.decode(value).items()
+            if kind in self._kinds and self._apply_peer_kind(kind, snapshot)
+        ]
         for kind in replaced:
             self._notify(kind)
         return replaced
 
-    def _apply_peer_objects(
-        self,
-        kind: str,
-        objects: list[StoredObject],
-        position: Position,
-        read_revision: int,
-    ) -> bool:
+    def _apply_peer_kind(self, kind: str, snapshot: KindSnapshot) -> bool:
         """Apply the objects of a peer; return whether any was newer."""
         view = self._kinds[kind]
+        objects, position = snapshot.objects, snapshot.position
         if not position.era and view.era:
             if position.revision <= view.eraless_revision:
                 return False
@@ -343,7 +332,7 @@
             view.eraless_revision = position.revision
             return True
         if not view.knows(position):
-            self._replace(kind, objects, position, read_revision)
+            self._replace(kind, objects, position, snapshot.read_revision)
             return True
         newer = {
             item.name: item
--- a/wigeonfall/forwarding/store_watcher.py
+++ b/wigeonfall/forwarding/store_watcher.py
@@ -82,13 +82,18 @@
             revision, failures = None, 0
             watcher.stopping.wait(DISABLED_POLL_S)
             continue
-        if revision is None:
-            revision, error = _list(watcher, progress)
-            if error is None:
-                _settle(watcher)
-        else:
-            revision, error = _watch(watcher, revision, progress)
+        before = revision
+        try:
+            if before is None:
+                revision, error = _list(watcher, progress)
+            else:
+                revision, error = _watch(watcher, before, progress)
+        except Exception as unexpected:
+            # The thread is the only one that watches the kind.
+            revision, error = None, repr(unexpected)
         if error is None:
+            if before is None:
+                _settle(watcher)
             if failures:
                 watcher.record(Event.WATCH_REGAINED, kind=watcher.kind)
             failures = 0
--- a/wigeonfall/forwarding/target_connection.py
+++ b/wigeonfall/forwarding/target_connection.py
@@ -8,6 +8,7 @@
 import attrs
 import httptools
 
+from .. import decoding
 from .caller_server import Headers
 from .framing import FramingBudget
 from .framing import READ_BYTES
@@ -17,6 +18,7 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBE_COUNT = 2
 MAX_FRAMING_BYTES = 64 << 10  # several times the heads of sound targets
+MAX_LENGTH_BYTES = 1 << 62  # the parser takes no larger ones
 MAX_RESPONSES = 16  # to one request, with interim and unasked ones
 # Handled in one turn of the event loop, together with what is read in it.
 _MAX_BUFFER_BYTES = 16 << 10
@@ -239,8 +241,8 @@
 
 def _length(headers: Headers) -> int | None:
     for name, value in headers:
-        if name == b'content-length' and value.isdigit():
-            return int(value)
+        if name == b'content-length':
+            return decoding.whole_number(value, MAX_LENGTH_BYTES)
     return None
 
 
