Divide calls and their answers from the server of callers

Calls, their headers and answers are a concept of their own, which most users of the module import alone. Moved without a change of behaviour; the tests of forwarding pass.

--- a/tests/forwarding/test_routed_request.py
+++ b/tests/forwarding/test_routed_request.py
@@ -4,7 +4,7 @@
 from tests.policy.test_routing import make_customer
 from tests.policy.test_routing import make_index
 from tests.policy.test_routing import make_route
-from wigeonfall.forwarding.caller_server import Call
+from wigeonfall.forwarding.calls import Call
 from wigeonfall.forwarding.routed_request import route_call
 from wigeonfall.forwarding.routed_request import ROUTE_RANKS
 from wigeonfall.forwarding.routed_request import target_request
--- a/wigeonfall/forwarding/call_handler.py
+++ b/wigeonfall/forwarding/call_handler.py
@@ -17,8 +17,8 @@
 from ..policy import waiting
 from ..recorder import Record
 from .attempt import AttemptContext
-from .caller_server import Call
-from .caller_server import Reply
+from .calls import Call
+from .calls import Reply
 from .header_names import HeaderNames
 from .outcomes import Outcomes
 from .outcomes import Progress
--- a/wigeonfall/forwarding/caller_server.py
+++ b/wigeonfall/forwarding/caller_server.py
@@ -16,6 +16,8 @@
 import httptools
 
 from ..model.routing import CallerLimits
+from .calls import Call
+from .calls import Reply
 from .framing import FramingBudget
 from .framing import READ_BYTES
 
@@ -23,35 +25,7 @@
 _MAX_WRITE_BUFFER_BYTES = 256 << 10  # above, reading from targets pauses
 MAX_PENDING_CALLS = 16  # that a caller sends before earlier answers
 REQUEST_LINE_BYTES = 1 << 10  # and separators, beside the limit on headers
-_REASON_PHRASES = {status.value: status.phrase for status in http.HTTPStatus}
-
-Headers = tuple[tuple[bytes, bytes], ...]
-
-
-@attrs.frozen
-class Call:
-    """A request of a caller.
-
-    Attributes:
-        method: HTTP method.
-        path: path and query, as received.
-        headers: headers with names in lower case.
-        body: the complete body.
-        arrived_s: when its first byte arrived, on the monotonic clock.
-    """
-
-    method: bytes
-    path: bytes
-    headers: Headers
-    body: bytes
-    arrived_s: float
-
-    def header(self, name: bytes) -> bytes:
-        """Return the value of the first header of a name, or b''."""
-        return next((v for n, v in self.headers if n == name), b'')
-
-
-HandleCall = Callable[[Call, 'Reply'], Awaitable[None]]
+HandleCall = Callable[[Call, Reply], Awaitable[None]]
 
 
 @attrs.frozen
@@ -75,63 +49,6 @@
     )
 
 
-class Reply:
-    """The answer to one request, written to the caller's connection."""
-
-    def __init__(self, connection: 'CallerConnection', close: bool) -> None:
-        self._connection = connection
-        self._close = close
-        self._chunked = False
-        self.started = False
-        self.complete = False
-
-    @property
-    def keep_alive(self) -> bool:
-        """Whether the connection stays open for another request."""
-        return self.complete and not self._close
-
-    def start(self, status: int, headers: Headers, length: int | None) -> None:
-        """Write the status line and headers of the answer.
-
-        Args:
-            status: HTTP status.
-            headers: headers except those of framing and connection.
-            length: length of the body in bytes, or None for a chunked body.
-        """
-        self._close = self._close or self._connection.closing()
-        self._chunked = length is None
-        lines = [_status_line(status)]
-        lines.extend(b'%s: %s\r\n' % header for header in headers)
-        if length is None:
-            lines.append(b'Transfer-Encoding: chunked\r\n')
-        else:
-            lines.append(b'Content-Length: %d\r\n' % length)
-        if self._close:
-            lines.append(b'Connection: close\r\n')
-        lines.append(b'\r\n')
-        self.started = True
-        self._connection.write(b''.join(lines))
-
-    async def write(self, data: bytes) -> None:
-        """Write a part of the body; waits while the write buffer is full."""
-        if self._chunked:
-            data = b'%x\r\n%s\r\n' % (len(data), data)
-        self._connection.write(data)
-        await self._connection.drain()
-
-    def finish(self) -> None:
-        """Finish the answer, with the last chunk of a chunked body."""
-        if self._chunked:
-            self._connection.write(b'0\r\n\r\n')
-        self.complete = True
-
-    def send(self, status: int, headers: Headers, body: bytes) -> None:
-        """Write a complete answer."""
-        self.start(status, headers, len(body))
-        self._connection.write(body)
-        self.complete = True
-
-
 class CallerConnection(asyncio.BufferedProtocol):
     """A connection of a caller."""
 
@@ -373,11 +290,6 @@
             self._transport.close()
 
 
-def _status_line(status: int) -> bytes:
-    reason = _REASON_PHRASES.get(status, 'Status')
-    return b'HTTP/1.1 %d %s\r\n' % (status, reason.encode())
-
-
 async def serve(
     address: str, context: ServerContext, backlog: int
 ) -> asyncio.Server:
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -28,8 +28,8 @@
 from .arbiter_messages import ArbiterDecisions
 from .arbiter_messages import ClientState
 from .attempt import AttemptContext
-from .caller_server import Call
-from .caller_server import Reply
+from .calls import Call
+from .calls import Reply
 from .cluster_state import ClusterState
 from .exchange import ConnectionPool
 from .internal_pages import Page
--- a/wigeonfall/forwarding/internal_pages.py
+++ b/wigeonfall/forwarding/internal_pages.py
@@ -9,9 +9,9 @@
 from typing import Any, TypeAlias
 
 from .. import decoding
-from .caller_server import Call
 from .caller_server import HandleCall
-from .caller_server import Reply
+from .calls import Call
+from .calls import Reply
 from .exchange import ConnectionPool
 from .exchange import ExchangeError
 from .store_view import StoreView
--- a/wigeonfall/forwarding/outcomes.py
+++ b/wigeonfall/forwarding/outcomes.py
@@ -7,8 +7,8 @@
 
 from ..events import Event
 from ..recorder import Record
-from .caller_server import Call
-from .caller_server import Reply
+from .calls import Call
+from .calls import Reply
 from .header_names import HeaderNames
 from .relaying import AttemptResult
 from .routed_request import Rejection
--- a/wigeonfall/forwarding/relaying.py
+++ b/wigeonfall/forwarding/relaying.py
@@ -13,8 +13,8 @@
 from ..policy.event_stream import EventSplitter
 from ..policy.quarantine import PROOF_S
 from .answer_buffers import HeldAnswer
-from .caller_server import Headers
-from .caller_server import Reply
+from .calls import Headers
+from .calls import Reply
 from .exchange import Exchange
 from .observations import Observations
 from .part_watch import PartWatch
--- a/wigeonfall/forwarding/routed_request.py
+++ b/wigeonfall/forwarding/routed_request.py
@@ -13,8 +13,8 @@
 from ..model.routing import Route
 from ..policy import routing
 from ..policy.target_stats import RequestSize
-from .caller_server import Call
-from .caller_server import Headers
+from .calls import Call
+from .calls import Headers
 from .header_names import HeaderNames
 
 MAX_NUMBER = 2**53  # in headers of callers; larger ones count as this
--- a/wigeonfall/forwarding/target_connection.py
+++ b/wigeonfall/forwarding/target_connection.py
@@ -9,7 +9,7 @@
 import httptools
 
 from .. import decoding
-from .caller_server import Headers
+from .calls import Headers
 from .framing import FramingBudget
 from .framing import READ_BYTES
 
