Take a connection for busy until its answer has left

Cause: a connection counted as idle when its handler had returned, though the write buffer held most of the answer; the end of the process drops it. Evidence: the answers lost what the kernel had not taken; with the reads 2.5 s after the signal and small segments, the new test shows the same on loopback.

Change: a connection is busy while its write buffer holds bytes, also when it is closing. The next call of a connection waits for the answer before it, which otherwise piled up in memory; a caller that takes nothing for the idle time-out is disconnected.

--- a/tests/forwarding/test_hostile_targets.py
+++ b/tests/forwarding/test_hostile_targets.py
@@ -51,6 +51,9 @@
     def set_write_buffer_limits(self, high=None, low=None):
         pass
 
+    def get_write_buffer_size(self):
+        return 0
+
     def pause_reading(self):
         self.paused = True
 
--- a/tests/users_platform/test_process.py
+++ b/tests/users_platform/test_process.py
@@ -3,12 +3,14 @@
 import asyncio
 import os
 import signal
+import socket
 
 import pytest
 
 from tests.fakes.forwarding import ScriptedTarget
 from tests.fakes.metadata_store import MetadataStore
 from tests.fakes.users_platform import Instance
+from tests.fakes.users_platform import REQUEST
 
 MANIFEST = {
     'Version': 3,
@@ -98,6 +100,68 @@
     run(scenario, tmp_path)
 
 
+@pytest.mark.parametrize('kind', ['answer', 'stream', 'last answer'])
+def test_a_stop_waits_until_answers_have_left(tmp_path, kind):
+    """It cut off all answers that were still in write buffers."""
+    body = b'p' * 1_040_000
+
+    async def script(served):
+        if kind == 'stream':
+            served.write(
+                b'HTTP/1.1 200 OK\r\nX-Wigeonfall-Server-Stamp: s\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\n'
+            )
+            served.chunk(b'data: ' + body + b'\n\n')
+            served.write(b'0\r\n\r\n')
+            return
+        name = 'x-wigeonfall-request-id'
+        served.write(
+            b'HTTP/1.1 200 OK\r\nX-Wigeonfall-Server-Stamp: s\r\n'
+            + f'{name}: {served.headers[name]}\r\n'.encode()
+            + b'Content-Length: %d\r\n\r\n%s' % (len(body), body)
+        )
+
+    async def scenario(store, _target):
+        route = MANIFEST['Routes'][0] | {
+            'Kind': 'streaming' if kind == 'stream' else 'non_idempotent'
+        }
+        store.objects.put(
+            'config', 'main', MANIFEST | {'Version': 4, 'Routes': [route]}
+        )
+        async with Instance(tmp_path, store) as instance:
+            await asyncio.sleep(0.5)
+            sock = socket.socket()
+            # Small segments, so that the kernel takes a part of the answer.
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 536)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.connect(('127.0.0.1', instance.ports['callers']))
+            reader, writer = await asyncio.open_connection(
+                sock=sock, limit=4096
+            )
+            request = REQUEST % b'1'
+            if kind == 'last answer':
+                request = request.replace(
+                    b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n'
+                )
+            writer.write(request)
+            await asyncio.sleep(0.3)
+            instance.process.send_signal(signal.SIGTERM)
+            # Past the time in which callers may still come.
+            await asyncio.sleep(2.5)
+            answer = b''
+            async with asyncio.timeout(4):
+                while answer.count(b'p') < len(body):
+                    part = await reader.read(1 << 16)
+                    assert part, f'cut off after {len(answer)} bytes'
+                    answer += part
+            assert answer.startswith(b'HTTP/1.1 200')
+            async with asyncio.timeout(3):
+                await instance.process.wait()
+            writer.close()
+
+    run(scenario, tmp_path, script)
+
+
 def test_changed_settings_are_loaded_with_and_without_a_signal(tmp_path):
     async def scenario(store, _target):
         async with Instance(tmp_path, store) as instance:
--- a/wigeonfall/forwarding/caller_server.py
+++ b/wigeonfall/forwarding/caller_server.py
@@ -73,8 +73,15 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a request is being received or answered."""
-        return self._task is not None or self._started_s is not None
+        """Whether a request is received or answered, or bytes have to leave.
+
+        What the transport still holds is lost when the process ends.
+        """
+        return (
+            self._task is not None
+            or self._started_s is not None
+            or self._unsent_bytes() > 0
+        )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to wait for the first request."""
@@ -236,7 +243,7 @@
     def _close_with(self, status: int) -> None:
         Reply(self, True).send(status, (), b'')
         if self._transport is not None:
-            self._transport.close()
+            self._close()
 
     def _start_next(self) -> None:
         call, close = self._pending_calls.popleft()
@@ -253,17 +260,50 @@
         reply = Reply(self, close)
         try:
             await self._context.handle(call, reply)
+            if reply.complete:
+                await self._flush()
         finally:
             self._task = None
             if not self._disconnected:
                 self._finish_request(reply)
 
+    def _unsent_bytes(self) -> int:
+        if self._transport is None or self._disconnected:
+            return 0
+        return self._transport.get_write_buffer_size()
+
+    async def _flush(self) -> None:
+        """Wait until the write buffer has room; abort if the caller stalls."""
+        while not self._writable.is_set():
+            unsent_bytes = self._unsent_bytes()
+            try:
+                async with asyncio.timeout(
+                    self._context.limits().idle_timeout_s
+                ):
+                    await self.drain()
+            except TimeoutError:
+                if self._unsent_bytes() >= unsent_bytes:
+                    self._abort()
+                    return
+
+    def _abort(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _close(self) -> None:
+        """Close the connection once all bytes have left, in bounded time."""
+        assert self._transport is not None
+        self._transport.close()
+        if self._unsent_bytes():
+            loop = asyncio.get_running_loop()
+            loop.call_later(self._context.limits().idle_timeout_s, self._abort)
+
     def _finish_request(self, reply: Reply) -> None:
         assert self._transport is not None
         if not reply.complete:
             self._transport.abort()
         elif not reply.keep_alive:
-            self._transport.close()
+            self._close()
         elif self._pending_calls:
             self._start_next()
         elif self._rejected:
