End the calls of an instance in time for its stop

Cause: a stop waited for the calls in progress, but no call knew of its end. Evidence: a real process with a target that never answers; of 60 calls those that waited and those at the target were cut off at the end of the grace.

Change: all calls end 0.7 s before the grace does. What did not run is refused with a promise and a time to come back, what may have run gets 504 and no promise. A call is sent only if its target is likely to answer before, by the newest answers of its route; a call that may not be repeated needs the time of nine in ten of them, another one that of half of them.

Result: the test, for plain calls and for streams, failed before and passes now. Final answers moved to a module of their own, unchanged.

--- a/tests/users_platform/test_process.py
+++ b/tests/users_platform/test_process.py
@@ -162,6 +162,91 @@
     run(scenario, tmp_path, script)
 
 
+def test_no_call_is_cut_off_late_in_the_grace_of_a_stop(tmp_path):
+    """Calls that may not be repeated were taken, and cut at its end."""
+
+    async def script(served):
+        await asyncio.sleep(1.5)
+        name = 'x-wigeonfall-request-id'
+        served.write(
+            b'HTTP/1.1 200 OK\r\nX-Wigeonfall-Server-Stamp: s\r\n'
+            + f'{name}: {served.headers[name]}\r\n'.encode()
+            + b'Content-Length: 2\r\n\r\nok'
+        )
+
+    async def scenario(store, target):
+        route = MANIFEST['Routes'][0] | {'Kind': 'non_idempotent'}
+        store.objects.put(
+            'config', 'main', MANIFEST | {'Version': 4, 'Routes': [route]}
+        )
+        async with Instance(tmp_path, store) as instance:
+            await asyncio.sleep(0.5)
+            assert (await instance.ask(1))[0] == 200
+            calls = []
+            loop = asyncio.get_running_loop()
+            stopped_s = loop.time()
+            instance.process.send_signal(signal.SIGTERM)
+            # Twenty slots and more calls than they can answer in the grace.
+            while loop.time() < stopped_s + 8:
+                calls.append(asyncio.create_task(instance.ask(len(calls) + 2)))
+                await asyncio.sleep(0.02)
+                if instance.process.returncode is not None:
+                    break
+            outcomes = await asyncio.gather(*calls, return_exceptions=True)
+            ran = {
+                int(s.headers['x-wigeonfall-request-id'])
+                for s in target.served
+            }
+            for number, outcome in enumerate(outcomes, 2):
+                if number in ran:
+                    assert not isinstance(outcome, Exception)
+                    assert outcome[0] == 200
+                elif not isinstance(outcome, Exception):
+                    assert outcome[0] == 503
+                else:
+                    # Not connected, or closed before it was read.
+                    assert loop.time() - stopped_s > 1.0
+            assert len(ran) > 20
+
+    run(scenario, tmp_path, script)
+
+
+@pytest.mark.parametrize('kind', ['non_idempotent', 'streaming'])
+def test_waiting_calls_are_refused_and_running_ones_answered(tmp_path, kind):
+    """Calls that waited to the end of the grace were cut off."""
+
+    async def script(served):
+        await served.closed()
+
+    async def scenario(store, target):
+        route = MANIFEST['Routes'][0] | {
+            'Kind': kind,
+            'TimeoutMs': 30_000,
+            'TargetLatencyMs': 10_000,
+        }
+        store.objects.put(
+            'config', 'main', MANIFEST | {'Version': 4, 'Routes': [route]}
+        )
+        async with Instance(tmp_path, store) as instance:
+            await asyncio.sleep(0.5)
+            calls = []
+            for number in range(60):
+                if number == 40:
+                    instance.process.send_signal(signal.SIGTERM)
+                calls.append(asyncio.create_task(instance.ask(number)))
+                await asyncio.sleep(0.01)
+            answers = await asyncio.gather(*calls)
+            names = 'x-wigeonfall-request-id'
+            ran = {int(served.headers[names]) for served in target.served}
+            assert 0 < len(ran) < 40
+            for number, (status, headers, _) in enumerate(answers):
+                assert status == (504 if number in ran else 503)
+                assert ('retry-after' in headers) == (number not in ran)
+            assert await instance.process.wait() == 0
+
+    run(scenario, tmp_path, script)
+
+
 def test_changed_settings_are_loaded_with_and_without_a_signal(tmp_path):
     async def scenario(store, _target):
         async with Instance(tmp_path, store) as instance:
--- a/wigeonfall/forwarding/call_handler.py
+++ b/wigeonfall/forwarding/call_handler.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-import http
 import time
 
 import attrs
@@ -10,7 +9,6 @@
 
 from . import attempt as attempt_module
 from ..policy import patience
-from ..policy.quarantine import Hold
 from ..policy import routing
 from ..policy.token_quota import Charge
 from ..policy.token_quota import OverLimit
@@ -19,21 +17,24 @@
 from .attempt import AttemptContext
 from .calls import Call
 from .calls import Reply
+from .final_answers import FinalAnswers
+from .final_answers import SHUTDOWN_RETRY_S
 from .header_names import HeaderNames
 from .outcomes import Outcomes
 from .outcomes import Progress
 from .relaying import AttemptOutcome
 from .relaying import AttemptResult
+from .relaying import raise_after_deadline
 from .relaying import Relay
 from .routed_request import route_call
 from .routed_request import RoutedRequest
 from .scheduler import Decision
 from .scheduler import NoRoom
 from .slot_client import SlotClient
+from .stop_deadline import AnswerTimes
+from .stop_deadline import StopDeadline
 
 NO_TABLE_RETRY_S = 0.5  # about the time that a start takes
-SHUTDOWN_RETRY_S = 0.05  # a new connection goes to another instance
-TARGETS_REFUSED_RETRY_S = 0.5  # about the time for which targets back off
 MAX_RESENDS = 2  # of one request, after refusals of targets
 # A caller that retries has less time left: its time-out is below this share of
 # the longest one of its route.
@@ -54,6 +55,7 @@
         allow_resend: returns whether the resend budget of a service allows
             another attempt.
         count_request: counts a request of a service for its resend budget.
+        stop: the time by which all calls have to end.
         record: records events.
     """
 
@@ -65,6 +67,7 @@
     allows: Callable[[RoutedRequest, str], bool]
     allow_resend: Callable[[str, float], bool]
     count_request: Callable[[str, float], None]
+    stop: StopDeadline
     record: Record
 
 
@@ -78,7 +81,9 @@
     def __init__(self, context: HandlerContext) -> None:
         self._context = context
         self._outcomes = Outcomes(context.record, context.names)
+        self._final = FinalAnswers(self._outcomes)
         self._longest_timeout_s: dict[str, float] = {}
+        self._answer_times = AnswerTimes()
         self._sequence = 0
 
     async def handle(self, call: Call, reply: Reply) -> None:
@@ -115,12 +120,11 @@
     async def _answer(
         self, request: RoutedRequest, reply: Reply, progress: Progress
     ) -> None:
-        left_s = request.deadline_s - time.monotonic()
         try:
-            async with asyncio.timeout(left_s):
+            async with self._context.stop.limit(request.deadline_s):
                 await self._run_attempts(request, reply, progress)
         except TimeoutError:
-            self._out_of_time(request, reply, progress)
+            self._final.out_of_time(request, reply, progress)
 
     async def _run_attempts(
         self, request: RoutedRequest, reply: Reply, progress: Progress
@@ -130,14 +134,17 @@
         while True:
             hold = parts.hold(request)
             if hold is not None:
-                self._held(request, reply, progress, relay, hold)
+                self._final.held(request, reply, progress, relay, hold)
+                return
+            slot = await self._acquire_before_stop(request, progress)
+            if slot is None:
+                self._final.stops(request, reply, progress, relay)
                 return
-            slot = await self._acquire(request, progress)
             if isinstance(slot, OverLimit):
-                self._over_limit(request, reply, progress, slot)
+                self._final.over_limit(request, reply, progress, slot)
                 return
             if isinstance(slot, NoRoom):
-                self._no_slot(request, reply, progress, relay, slot)
+                self._final.no_slot(request, reply, progress, relay, slot)
                 return
             if not progress.admitted:
                 progress.admitted = True
@@ -146,7 +153,7 @@
             hold = parts.hold(request)
             if hold is not None:
                 self._context.slots.release(request.service, slot)
-                self._held(request, reply, progress, relay, hold)
+                self._final.held(request, reply, progress, relay, hold)
                 return
             progress.target = slot.target.name
             progress.attempts += 1
@@ -155,6 +162,7 @@
                 request.route.repeatable
                 and progress.runs + 1 < request.route.attempts_limit
             )
+            sent_s = time.monotonic()
             try:
                 result = await attempt_module.run(
                     self._context.attempts, request, slot, relay, progress
@@ -162,11 +170,14 @@
             finally:
                 self._context.slots.release(request.service, slot)
             if result.outcome is AttemptOutcome.ANSWERED:
+                self._answer_times.record(
+                    request.route.name, time.monotonic() - sent_s
+                )
                 self._outcomes.record_answer(request, progress, result)
                 return
             self._outcomes.record_failed_attempt(request, progress, result)
             if not self._may_retry(request, progress, result):
-                self._fail(request, reply, progress, relay, result)
+                self._final.fail(request, reply, progress, relay, result)
                 return
             progress.excluded.add(slot.target.name)
 
@@ -174,6 +185,28 @@
         index = self._context.index()
         return index.table.version if index else 0
 
+    async def _acquire_before_stop(
+        self, request: RoutedRequest, progress: Progress
+    ) -> Decision | OverLimit | None:
+        """Acquire a slot, None if the instance stops too soon to use it."""
+        stop = self._context.stop
+        now_s = time.monotonic()
+        route = request.route
+        needed_s = min(
+            request.deadline_s - now_s,
+            self._answer_times.expected_s(
+                route.name, route.repeatable, route.answer_goal_s
+            ),
+        )
+        if not stop.allows(needed_s, now_s):
+            return None
+        try:
+            async with stop.limit(float('inf'), needed_s):
+                return await self._acquire(request, progress)
+        except TimeoutError:
+            raise_after_deadline(request)
+            return None
+
     async def _acquire(
         self, request: RoutedRequest, progress: Progress
     ) -> Decision | OverLimit:
@@ -260,119 +293,6 @@
             self._outcomes.record_resend_refused(request, progress)
         return allowed
 
-    def _over_limit(
-        self,
-        request: RoutedRequest,
-        reply: Reply,
-        progress: Progress,
-        over: OverLimit,
-    ) -> None:
-        self._outcomes.refuse(
-            request,
-            reply,
-            progress,
-            http.HTTPStatus.TOO_MANY_REQUESTS,
-            f'customer over its limit: {request.tokens:.0f} more than'
-            f' {over.used_tokens:.0f} of {over.limit_tokens:.0f} tokens',
-            over.delay_s,
-        )
-
-    def _no_slot(
-        self,
-        request: RoutedRequest,
-        reply: Reply,
-        progress: Progress,
-        relay: Relay,
-        refused: NoRoom,
-    ) -> None:
-        if progress.ran or relay.started:
-            self._fail(request, reply, progress, relay, None)
-            return
-        self._outcomes.refuse(
-            request,
-            reply,
-            progress,
-            http.HTTPStatus.SERVICE_UNAVAILABLE,
-            'no target had room in time',
-            refused.retry_after_s,
-        )
-
-    def _held(
-        self,
-        request: RoutedRequest,
-        reply: Reply,
-        progress: Progress,
-        relay: Relay,
-        hold: Hold,
-    ) -> None:
-        if progress.ran or relay.started:
-            self._fail(request, reply, progress, relay, None)
-            return
-        self._outcomes.refuse(
-            request,
-            reply,
-            progress,
-            http.HTTPStatus.SERVICE_UNAVAILABLE,
-            f'prompt part {hold.part} crashed targets',
-            hold.left_s,
-        )
-
-    def _fail(
-        self,
-        request: RoutedRequest,
-        reply: Reply,
-        progress: Progress,
-        relay: Relay,
-        result: AttemptResult | None,
-    ) -> None:
-        """Send the final answer after the last attempt failed."""
-        if relay.started:
-            self._outcomes.record_refusal(
-                request, progress, 0, 'answer broke off'
-            )
-            return
-        if result is not None and result.answer is not None:
-            answer = result.answer
-            reply.send(answer.status, answer.headers, answer.body)
-            self._outcomes.record_answer(request, progress, result)
-            return
-        if progress.ran:
-            self._outcomes.refuse(
-                request,
-                reply,
-                progress,
-                http.HTTPStatus.BAD_GATEWAY,
-                'attempt failed',
-                None,
-            )
-            return
-        left_s = (
-            request.call.arrived_s
-            + request.caller_timeout_s
-            - time.monotonic()
-        )
-        self._outcomes.refuse(
-            request,
-            reply,
-            progress,
-            http.HTTPStatus.SERVICE_UNAVAILABLE,
-            'targets refused',
-            min(TARGETS_REFUSED_RETRY_S, patience.RETRY_SHARE * left_s),
-        )
-
-    def _out_of_time(
-        self, request: RoutedRequest, reply: Reply, progress: Progress
-    ) -> None:
-        if reply.started:
-            self._outcomes.record_refusal(request, progress, 0, 'out of time')
-            return
-        status = http.HTTPStatus.SERVICE_UNAVAILABLE
-        if progress.ran:
-            status = http.HTTPStatus.GATEWAY_TIMEOUT
-        self._outcomes.refuse(
-            request, reply, progress, status, 'out of time', None
-        )
-
 
 def _charge(request: RoutedRequest, is_retry: bool) -> Charge | None:
     if request.customer is None:
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -44,6 +44,7 @@
 from .scheduler import Scheduler
 from .settings import ForwardingSettings
 from .state_exchange import StateExchange
+from .stop_deadline import StopDeadline
 from .topology import Topology
 
 
@@ -157,6 +158,7 @@
         )
         self._live_names: frozenset[str] = frozenset()
         self._leaving = False
+        self._stop_deadline = StopDeadline()
         self._watches = True
         self._call_handler = call_handler.CallHandler(self._handler_context())
 
@@ -224,6 +226,10 @@
         self._settings = settings
         self._peers.add_addresses(settings.seed_addresses)
 
+    def stop_by(self, stop_s: float) -> None:
+        """End all calls by a time on the monotonic clock."""
+        self._stop_deadline.set(stop_s)
+
     def reject_calls(self) -> None:
         """Reject calls from now on, so that callers use other instances."""
         self._leaving = True
@@ -286,6 +292,7 @@
             allows=self._rollouts.allows,
             allow_resend=allow_resend,
             count_request=count_request,
+            stop=self._stop_deadline,
             record=self.record,
         )
 
--- a/wigeonfall/forwarding/process.py
+++ b/wigeonfall/forwarding/process.py
@@ -34,6 +34,7 @@
 SETTINGS_POLL_INTERVAL_S = 1.0
 STOP_POLL_INTERVAL_S = 0.1
 STOP_MARGIN_S = 0.4  # to exit before the process is killed
+LAST_ANSWERS_S = 0.3  # for the last answers to leave
 STOP_IDLE_S = 0.5  # time without requests that ends a stop
 MAINTENANCE_INTERVAL_S = 0.5
 MIN_SUSPENSION_S = 0.5  # smaller clock differences can be drift
@@ -248,8 +249,9 @@
         self._instance.step_down()
         stop = self._settings.stop
         now_s = time.monotonic()
-        reject_after_s = now_s + stop.settle_s
+        reject_after_s = now_s + min(stop.settle_s, stop.grace_s / 2)
         end_s = now_s + max(0.0, stop.grace_s - STOP_MARGIN_S)
+        self._instance.stop_by(end_s - LAST_ANSWERS_S)
         last_busy_s = now_s
         while now_s < end_s:
             if any(connection.busy for connection in context.connections):
