--- a/tests/users_platform/test_process.py
+++ b/tests/users_platform/test_process.py
@@ -282,6 +282,30 @@
     run(scenario, tmp_path)
 
 
+@pytest.mark.parametrize('after_s', [0.1, 0.2, 0.3])
+def test_changed_settings_during_a_start_do_not_end_the_process(
+    tmp_path, after_s
+):
+    """SIGHUP ended a process in the first 0.3 s after its start."""
+
+    async def scenario(store, _target):
+        instance = Instance(tmp_path, store)
+
+        async def signal_soon():
+            while not hasattr(instance, 'process'):
+                await asyncio.sleep(0.001)
+            await asyncio.sleep(after_s)
+            instance.process.send_signal(signal.SIGHUP)
+
+        soon = asyncio.create_task(signal_soon())
+        async with instance:
+            await soon
+            assert (await instance.ask(1))[0] == 200
+            assert instance.process.returncode is None
+
+    run(scenario, tmp_path, slow_stream(1, 0.0))
+
+
 async def wait_for_registration(store, instance):
     async with asyncio.timeout(10):
         while store.objects.get('instances', instance.name) is None:
