--- a/wigeonfall/policy/quarantine.py
+++ b/wigeonfall/policy/quarantine.py
@@ -294,15 +294,7 @@
         parts: frozenset[str],
         first: Iterable[str],
     ) -> None:
-        """Add a loss to a part.
-
-        Args:
-            part: the part.
-            target: the target that was lost.
-            at_s: when it was lost.
-            parts: the parts of the request; the part may be among them.
-            first: those that a new suspect begins with, in order.
-        """
+        """Add a loss to a part; a new suspect begins with the first parts."""
         if self._is_sound(part, at_s):
             return
         suspect = self._lost.pop(part, None)
