--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -10,6 +10,7 @@
 
 HOST = b'meat.example'
 PREFIX = b'X-Wigeonfall-'
+PART_BYTES = 16 << 10  # that an endless answer sends at once
 PAUSE_S = 0.03  # between two events of a target
 CALL_PAUSE_S = 0.02  # of a caller
 # Of one without an answer: a process that starts refuses all at once.
@@ -22,11 +23,13 @@
     Attributes:
         mode: what it does with requests: "fine", "errors", "resets",
             "hangs", "refuses" or "cuts" streams.
+        endless: what it sends without end in streams, b'' for nothing.
         address: "host:port" of its own port.
     """
 
     def __init__(self, seen: promises.Promises) -> None:
         self.mode = 'fine'
+        self.endless = b''
         self.address = ''
         self._seen = seen
 
@@ -84,6 +87,10 @@
         writer.write(
             b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n%s\r\n' % common
         )
+        while self.endless and not writer.is_closing():
+            data = self.endless * (PART_BYTES // len(self.endless))
+            writer.write(b'%x\r\n%s\r\n' % (len(data), data))
+            await writer.drain()
         return await self._stream(head, request_id, writer)
 
     async def _stream(
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import itertools
 import pathlib
 import random
 import signal
@@ -10,6 +11,8 @@
 import attrs
 
 from tests.fakes.metadata_store import MetadataStore
+from tests.fakes.odd_entries import ODD
+from tests.fakes.odd_entries import odd_entry
 from tests.fakes.tcp_proxy import TcpProxy
 from tests.fakes.users_platform import Instance
 from tests.soak.callers import Caller
@@ -19,6 +22,12 @@
 from wigeonfall.events import Event
 
 MODES = ('errors', 'resets', 'hangs', 'refuses', 'cuts')
+# What a target sends without end in place of events.
+ENDLESS = {
+    'newlines': b'\n',
+    'comments': b':\n\n',
+    'other bytes': b'x',
+}
 FAULT_S = (0.2, 2.0)
 GAP_S = (0.2, 1.5)
 HEALED_S = 20.0  # in which all serve again; processes share a busy machine
@@ -164,6 +173,7 @@
             *(self._target_lane(n) for n in range(self.plan.targets)),
             self._store_lane(),
             self._restore_lane(),
+            self._endless_lane(),
         ]
         until_s = time.monotonic() + self.plan.duration_s
         tasks = [asyncio.create_task(c.run(stopping)) for c in callers]
@@ -257,8 +267,12 @@
             objects.put('config', 'main', self._manifest())
             return lambda: None
 
+        odd = itertools.cycle(sorted(ODD))
+
         def spoil() -> Undo:
-            objects.put('servers', 'odd', {'Address': 7})
+            kind = next(odd)
+            self._store.raw[kind] = odd_entry(kind, Service='s')
+            objects.put('servers', 'odd', {'raw': kind})
             return lambda: objects.discard('servers', 'odd')
 
         return 'store', (
@@ -289,6 +303,19 @@
 
         return 'restores', (('restore', restore),)
 
+    def _endless_lane(self) -> tuple[str, tuple]:
+        target = self._targets[0]
+
+        def send(part: bytes) -> Callable[[], Undo]:
+            def cause() -> Undo:
+                target.endless = part
+                return lambda: setattr(target, 'endless', b'')
+
+            return cause
+
+        kinds = tuple((name, send(part)) for name, part in ENDLESS.items())
+        return 'endless', kinds
+
     def _write_again(self) -> None:
         """Write what the store may have lost, as operators and targets do."""
         self._store.objects.put('config', 'main', self._manifest())
--- a/tests/users_platform/test_odd_entries.py
+++ b/tests/users_platform/test_odd_entries.py
@@ -1,12 +1,14 @@
 """Tests of entries of other writers among those of engines, on processes."""
 
 import asyncio
-import json
 
 import pytest
 
 from tests.fakes.forwarding import ScriptedTarget
 from tests.fakes.metadata_store import MetadataStore
+from tests.fakes.odd_entries import ODD
+from tests.fakes.odd_entries import odd_entry
+from tests.fakes.odd_entries import SOUND
 from tests.fakes.users_platform import Instance
 from tests.users_platform.test_endless_answers import answer
 from tests.users_platform.test_endless_answers import make_route
@@ -19,42 +21,6 @@
     'Limits': {},
     'Tenants': [],
 }
-SOUND = {
-    'Service': 'r',
-    'Address': '127.0.0.1:9',
-    'Zone': 'z',
-    'Version': 'v1',
-    'Slots': 4,
-    'State': 'ready',
-    'ColdRemainingMs': 0,
-    'Sequence': 1,
-}
-# JSON text of one field.
-ODD = {
-    'infinite number': ('Slots', '1e999'),
-    'number of 401 digits': ('Slots', '9' * 401),
-    'number of 5000 digits': ('Slots', '9' * 5000),
-    'no number': ('Slots', 'NaN'),
-    'negative number': ('Slots', '-1'),
-    'missing number': ('Slots', 'null'),
-    'port out of range': ('Address', '"127.0.0.1:99999"'),
-    'port below zero': ('Address', '"127.0.0.1:-1"'),
-    'no address': ('Address', '"a\\u0000b:80"'),
-    'deep value': ('Slots', '[' * 20_000 + ']' * 20_000),
-    'deep label': ('Labels', '{"a":' * 20_000 + '1' + '}' * 20_000),
-    'half a surrogate pair': ('Zone', '"\\ud800"'),
-    'huge time': ('born', '1e300'),
-    'not a string': ('State', '{"ready": true}'),
-}
-
-
-def odd_entry(name, text):
-    """Return an entry as JSON text; the name marks it in the store."""
-    fields = {**SOUND, name: None}
-    return ', '.join(
-        f'"{key}": {text if key == name else json.dumps(value)}'
-        for key, value in fields.items()
-    )
 
 
 def register(store, target, **changes):
@@ -76,7 +42,7 @@
             register(store, first)
             register(store, second)
             async with Instance(tmp_path, store) as instance:
-                store.raw['odd'] = '{%s}' % odd_entry(*ODD[kind])
+                store.raw['odd'] = odd_entry(kind)
                 store.objects.put('servers', 'odd', {'raw': 'odd'})
                 await asyncio.sleep(0.3)
                 register(store, first, State='draining')
