--- a/bench/arbiter.py
+++ b/bench/arbiter.py
@@ -19,7 +19,7 @@
 from wigeonfall.forwarding import arbiter_messages
 from wigeonfall.forwarding.scheduler import Scheduler
 from wigeonfall.model.target import Target
-from wigeonfall.policy.load_balancer import LoadBalancer
+from wigeonfall.policy.targets.load_balancer import LoadBalancer
 
 REQUESTS = 3000
 WARM_UP = 500
--- a/bench/rollout_exchange.py
+++ b/bench/rollout_exchange.py
@@ -15,7 +15,7 @@
 
 from bench import rollout_cases as cases
 from tests.fakes import rollout_nodes
-from wigeonfall.policy import outcome_counts
+from wigeonfall.policy.versions import outcome_counts
 from wigeonfall.serving import rollout_exchange as exchange
 from wigeonfall.serving import rollouts
 
--- a/bench/rollouts.py
+++ b/bench/rollouts.py
@@ -26,7 +26,7 @@
 from tests.fakes import memory_platform
 from wigeonfall.model.rollout import Outcome
 from wigeonfall.model.rollout import Rollout
-from wigeonfall.policy import rollout as policy
+from wigeonfall.policy.versions import rollout as policy
 from wigeonfall.serving import leases
 from wigeonfall.serving import rollout_changes as changes
 from wigeonfall.serving import rollout_control
--- a/bench/tiers.py
+++ b/bench/tiers.py
@@ -19,9 +19,9 @@
 
 from bench import tiers_link
 from wigeonfall.model.target import Target
-from wigeonfall.policy import admission
-from wigeonfall.policy import grants
-from wigeonfall.policy import rate_limits
+from wigeonfall.policy.room import admission
+from wigeonfall.policy.room import grants
+from wigeonfall.policy.room import rate_limits
 
 TARGETS = 3
 SLOTS = 8
--- a/tests/adapters/test_admission_messages.py
+++ b/tests/adapters/test_admission_messages.py
@@ -5,8 +5,8 @@
 
 from wigeonfall.adapters import admission_messages
 from wigeonfall.adapters.proto import admission_pb2
-from wigeonfall.policy import grants
-from wigeonfall.policy import prefixes
+from wigeonfall.policy.room import grants
+from wigeonfall.policy.targets import prefixes
 
 MOST_BYTES = 400
 HASHES = strategies.lists(strategies.integers(0, 2**64 - 1), max_size=64)
--- a/tests/failure/test_retries.py
+++ b/tests/failure/test_retries.py
@@ -7,7 +7,7 @@
 from tests.failure import test_orders
 from tests.fakes import fleet
 from tests.fakes import processes
-from wigeonfall.policy import retry
+from wigeonfall.policy.room import retry
 
 CALLS = 240
 PATH = '/services/pedidos-app/stock/ham'
--- a/tests/fakes/arbitration.py
+++ b/tests/fakes/arbitration.py
@@ -10,7 +10,7 @@
 from wigeonfall.model import service
 from wigeonfall.model import target
 from wigeonfall.model import tier
-from wigeonfall.policy import grants
+from wigeonfall.policy.room import grants
 from wigeonfall.ports import arbiters as port
 from wigeonfall.serving import admission
 from wigeonfall.serving import arbiter
--- a/tests/fakes/forwarding.py
+++ b/tests/fakes/forwarding.py
@@ -23,8 +23,8 @@
 from wigeonfall.model.routing import RoutingTable
 from wigeonfall.model.target import Target
 from wigeonfall.model.target import TargetState
-from wigeonfall.policy.version_trial import Order
-from wigeonfall.policy.version_trial import State
+from wigeonfall.policy.versions.version_trial import Order
+from wigeonfall.policy.versions.version_trial import State
 from wigeonfall.settings import InstanceSettings
 from wigeonfall.settings import LogSettings
 from wigeonfall.settings import PlatformSettings
--- a/tests/forwarding/test_arbiter.py
+++ b/tests/forwarding/test_arbiter.py
@@ -22,11 +22,11 @@
 from wigeonfall.model.target import Target
 from wigeonfall.policy import arbiters
 from wigeonfall.policy.arbiters import Candidate
-from wigeonfall.policy.load_balancer import LoadBalancer
-from wigeonfall.policy.target_stats import RequestSize
-from wigeonfall.policy.token_quota import Charge
-from wigeonfall.policy.token_quota import OverLimit
-from wigeonfall.policy.waiting import PendingRequest
+from wigeonfall.policy.room.token_quota import Charge
+from wigeonfall.policy.room.token_quota import OverLimit
+from wigeonfall.policy.room.waiting import PendingRequest
+from wigeonfall.policy.targets.load_balancer import LoadBalancer
+from wigeonfall.policy.targets.target_stats import RequestSize
 
 NETWORK_DELAY_S = 0.002
 TARGETS = tuple(
--- a/tests/forwarding/test_odd_values.py
+++ b/tests/forwarding/test_odd_values.py
@@ -25,8 +25,8 @@
 from wigeonfall.forwarding.store_view import StoreView
 from wigeonfall.forwarding import store_watcher
 from wigeonfall.model.target import Target
-from wigeonfall.policy.load_balancer import LoadBalancer
-from wigeonfall.policy.version_trial import Trials
+from wigeonfall.policy.targets.load_balancer import LoadBalancer
+from wigeonfall.policy.versions.version_trial import Trials
 from wigeonfall.ports.objects import Change
 from wigeonfall.ports.objects import Changes
 from wigeonfall.ports.objects import Listing
--- a/tests/forwarding/test_part_watch.py
+++ b/tests/forwarding/test_part_watch.py
@@ -5,8 +5,8 @@
 import pytest
 
 from tests.fakes.forwarding import Harness
-from wigeonfall.policy import quarantine
-from wigeonfall.policy.quarantine import QUARANTINE_S
+from wigeonfall.policy.targets import quarantine
+from wigeonfall.policy.targets.quarantine import QUARANTINE_S
 
 SETTLE_S = 0.05
 
--- a/tests/forwarding/test_peer_news.py
+++ b/tests/forwarding/test_peer_news.py
@@ -13,13 +13,13 @@
 from wigeonfall.forwarding.peer_news import NewsExchange
 from wigeonfall.forwarding.peer_news import PeerNews
 from wigeonfall.forwarding import peer_state
-from wigeonfall.policy import quarantine
-from wigeonfall.policy.quarantine import PartNews
-from wigeonfall.policy.quarantine import Quarantines
-from wigeonfall.policy.quarantine import Suspect
-from wigeonfall.policy import target_rates
-from wigeonfall.policy.target_rates import RateNews
-from wigeonfall.policy.target_rates import TargetRates
+from wigeonfall.policy.targets import quarantine
+from wigeonfall.policy.targets.quarantine import PartNews
+from wigeonfall.policy.targets.quarantine import Quarantines
+from wigeonfall.policy.targets.quarantine import Suspect
+from wigeonfall.policy.targets import target_rates
+from wigeonfall.policy.targets.target_rates import RateNews
+from wigeonfall.policy.targets.target_rates import TargetRates
 
 MAX_DATAGRAM_BYTES = 65_507
 
--- a/tests/forwarding/test_peers.py
+++ b/tests/forwarding/test_peers.py
@@ -9,8 +9,8 @@
 from wigeonfall.forwarding.peer_state import PeerState
 from wigeonfall.forwarding import peers as peers_module
 from wigeonfall.forwarding.peers import Peers
-from wigeonfall.policy.moving_average import PeerAverage
-from wigeonfall.policy.target_stats import TargetLoad
+from wigeonfall.policy.targets.moving_average import PeerAverage
+from wigeonfall.policy.targets.target_stats import TargetLoad
 
 STATE = PeerState(
     name='i2',
--- a/tests/forwarding/test_rate_limited_targets.py
+++ b/tests/forwarding/test_rate_limited_targets.py
@@ -17,10 +17,10 @@
 from wigeonfall.forwarding.scheduler import Scheduler
 from wigeonfall.forwarding.scheduler import Slot
 from wigeonfall.model.target import Target
-from wigeonfall.policy.load_balancer import LoadBalancer
-from wigeonfall.policy.target_stats import PeerLoad
-from wigeonfall.policy.target_stats import RequestSize
-from wigeonfall.policy.waiting import PendingRequest
+from wigeonfall.policy.room.waiting import PendingRequest
+from wigeonfall.policy.targets.load_balancer import LoadBalancer
+from wigeonfall.policy.targets.target_stats import PeerLoad
+from wigeonfall.policy.targets.target_stats import RequestSize
 
 STABILITY_S = 3.0  # published time after which a limit binds
 WINDOW_S = 4.0  # published
--- a/tests/forwarding/test_rollouts.py
+++ b/tests/forwarding/test_rollouts.py
@@ -11,7 +11,7 @@
 from tests.policy.test_version_trial import make_trials
 from wigeonfall.forwarding.rollouts import Rollouts
 from wigeonfall.model.target import Target
-from wigeonfall.policy.version_trial import State
+from wigeonfall.policy.versions.version_trial import State
 from wigeonfall.ports.platform import StoredObject
 
 
--- a/tests/policy/overload.py
+++ b/tests/policy/overload.py
@@ -13,12 +13,12 @@
 import attrs
 
 from wigeonfall.model.target import Target
-from wigeonfall.policy.load_balancer import LoadBalancer
-from wigeonfall.policy import patience
-from wigeonfall.policy.target_rates import TargetRates
-from wigeonfall.policy.target_stats import RequestSize
-from wigeonfall.policy.waiting import PendingRequest
-from wigeonfall.policy.waiting import RequestQueue
+from wigeonfall.policy.room import patience
+from wigeonfall.policy.room.waiting import PendingRequest
+from wigeonfall.policy.room.waiting import RequestQueue
+from wigeonfall.policy.targets.load_balancer import LoadBalancer
+from wigeonfall.policy.targets.target_rates import TargetRates
+from wigeonfall.policy.targets.target_stats import RequestSize
 
 STEP_S = 0.01
 FIRST_EVENT_S = 0.05
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -6,8 +6,8 @@
 from hypothesis import strategies
 
 from wigeonfall.model import target
-from wigeonfall.policy import admission
-from wigeonfall.policy import grants
+from wigeonfall.policy.room import admission
+from wigeonfall.policy.room import grants
 
 LIMITS = grants.PoolLimits(3, 100, 4)
 TARGETS = ('a', 'b')
--- a/tests/policy/test_best_times.py
+++ b/tests/policy/test_best_times.py
@@ -5,9 +5,9 @@
 import pytest
 
 from tests.policy.test_load_balancer import make_balancer
-from wigeonfall.policy.best_times import BestTimes
-from wigeonfall.policy.best_times import mean_work
-from wigeonfall.policy.target_stats import RequestSize
+from wigeonfall.policy.room.best_times import BestTimes
+from wigeonfall.policy.room.best_times import mean_work
+from wigeonfall.policy.targets.target_stats import RequestSize
 
 TARGETS = strategies.lists(
     strategies.tuples(
--- a/tests/policy/test_expected_room.py
+++ b/tests/policy/test_expected_room.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from wigeonfall.policy.expected_room import ExpectedRoom
+from wigeonfall.policy.room.expected_room import ExpectedRoom
 
 
 def test_wait_follows_from_the_work_ahead_and_the_slots():
--- a/tests/policy/test_ledger.py
+++ b/tests/policy/test_ledger.py
@@ -10,8 +10,8 @@
 from wigeonfall.model import order
 from wigeonfall.model.order import OrderState
 from wigeonfall.model.order import Verdict
-from wigeonfall.policy import ledger
-from wigeonfall.policy import retention
+from wigeonfall.policy.orders import ledger
+from wigeonfall.policy.orders import retention
 
 START_UNIX_S = 1_700_000_000.0
 DEADLINE_S = 20.0
--- a/tests/policy/test_load_balancer.py
+++ b/tests/policy/test_load_balancer.py
@@ -3,13 +3,13 @@
 import attrs
 
 from wigeonfall.model.target import Target
-from wigeonfall.policy.load_balancer import LoadBalancer
-from wigeonfall.policy.load_balancer import TimeBudget
-from wigeonfall.policy.moving_average import PeerAverage
-from wigeonfall.policy.target_stats import PeerLoad
-from wigeonfall.policy.target_stats import RequestSize
-from wigeonfall.policy.target_stats import TargetLoad
-from wigeonfall.policy.target_stats import UNKNOWN_TARGET_REQUESTS
+from wigeonfall.policy.targets.load_balancer import LoadBalancer
+from wigeonfall.policy.targets.load_balancer import TimeBudget
+from wigeonfall.policy.targets.moving_average import PeerAverage
+from wigeonfall.policy.targets.target_stats import PeerLoad
+from wigeonfall.policy.targets.target_stats import RequestSize
+from wigeonfall.policy.targets.target_stats import TargetLoad
+from wigeonfall.policy.targets.target_stats import UNKNOWN_TARGET_REQUESTS
 
 RELAXED = TimeBudget(goal_s=1.0, patience_s=3.0, time_left_s=15.0)
 SMALL_SIZE = RequestSize(600, 100)
--- a/tests/policy/test_moving_average.py
+++ b/tests/policy/test_moving_average.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from wigeonfall.policy import moving_average
-from wigeonfall.policy.moving_average import MovingAverage
-from wigeonfall.policy.moving_average import PeerAverage
+from wigeonfall.policy.targets import moving_average
+from wigeonfall.policy.targets.moving_average import MovingAverage
+from wigeonfall.policy.targets.moving_average import PeerAverage
 
 
 def test_a_change_shows_within_a_few_observations():
--- a/tests/policy/test_outcome_counts.py
+++ b/tests/policy/test_outcome_counts.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies
 
 from wigeonfall.model.rollout import Outcome
-from wigeonfall.policy import outcome_counts
+from wigeonfall.policy.versions import outcome_counts
 
 KEY = outcome_counts.CountsKey('lm/1', 'v2', 'report')
 OUTCOMES = strategies.builds(
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -4,9 +4,9 @@
 import pytest
 
 from wigeonfall.model import target
-from wigeonfall.policy import admission
-from wigeonfall.policy import grants
-from wigeonfall.policy import prefixes
+from wigeonfall.policy.room import admission
+from wigeonfall.policy.room import grants
+from wigeonfall.policy.targets import prefixes
 
 LIMITS = grants.PoolLimits(16, 1_000_000, 100)
 TARGETS = ('a', 'b', 'c')
--- a/tests/policy/test_prefixes.py
+++ b/tests/policy/test_prefixes.py
@@ -3,7 +3,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from wigeonfall.policy import prefixes
+from wigeonfall.policy.targets import prefixes
 
 
 def test_sampled_hashes_match_for_common_prefix():
--- a/tests/policy/test_quarantine.py
+++ b/tests/policy/test_quarantine.py
@@ -7,12 +7,12 @@
 from hypothesis import strategies as st
 import pytest
 
-from wigeonfall.policy import quarantine
-from wigeonfall.policy.quarantine import ANSWER_MEMORY_S
-from wigeonfall.policy.quarantine import QUARANTINE_S
-from wigeonfall.policy.quarantine import Quarantines
-from wigeonfall.policy.quarantine import SETTLE_S
-from wigeonfall.policy.quarantine import TARGETS_LOST
+from wigeonfall.policy.targets import quarantine
+from wigeonfall.policy.targets.quarantine import ANSWER_MEMORY_S
+from wigeonfall.policy.targets.quarantine import QUARANTINE_S
+from wigeonfall.policy.targets.quarantine import Quarantines
+from wigeonfall.policy.targets.quarantine import SETTLE_S
+from wigeonfall.policy.targets.quarantine import TARGETS_LOST
 
 STABILITY_S = 3.0  # published time after which a part must be known
 CRASHES = 5  # published number of crashes
--- a/tests/policy/test_rank_shares.py
+++ b/tests/policy/test_rank_shares.py
@@ -3,7 +3,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from wigeonfall.policy.rank_shares import RankShares
+from wigeonfall.policy.room.rank_shares import RankShares
 
 
 def count(shares, rank, served, lost):
--- a/tests/policy/test_rate_limits.py
+++ b/tests/policy/test_rate_limits.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from wigeonfall.policy import rate_limits
+from wigeonfall.policy.room import rate_limits
 
 LIMIT = rate_limits.RateLimit(40.0, 9.0)
 
--- a/tests/policy/test_rates.py
+++ b/tests/policy/test_rates.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies
 import pytest
 
-from wigeonfall.policy import rates
+from wigeonfall.policy.targets import rates
 
 
 def test_average_follows_a_changed_speed():
--- a/tests/policy/test_resend_budget.py
+++ b/tests/policy/test_resend_budget.py
@@ -1,8 +1,8 @@
 """Tests of the budget for resends."""
 
-from wigeonfall.policy.resend_budget import ResendBudget
-from wigeonfall.policy.resend_budget import ResendLimits
-from wigeonfall.policy.resend_budget import WINDOW_S
+from wigeonfall.policy.room.resend_budget import ResendBudget
+from wigeonfall.policy.room.resend_budget import ResendLimits
+from wigeonfall.policy.room.resend_budget import WINDOW_S
 
 LIMITS = ResendLimits(ratio=0.2, slack=58.0)
 
--- a/tests/policy/test_restored_orders.py
+++ b/tests/policy/test_restored_orders.py
@@ -5,10 +5,10 @@
 from tests.policy.test_version_trial import answer
 from tests.policy.test_version_trial import new_version_share
 from tests.policy.test_version_trial import ORDER
-from wigeonfall.policy.restored_orders import RestoredOrders
-from wigeonfall.policy.restored_orders import REWRITE_S
-from wigeonfall.policy.version_trial import State
-from wigeonfall.policy.version_trial import Trials
+from wigeonfall.policy.orders.restored_orders import RestoredOrders
+from wigeonfall.policy.orders.restored_orders import REWRITE_S
+from wigeonfall.policy.versions.version_trial import State
+from wigeonfall.policy.versions.version_trial import Trials
 
 BEFORE = attrs.evolve(ORDER, version='v1', state=State.COMPLETED)
 COMPLETED = attrs.evolve(ORDER, state=State.COMPLETED)
--- a/tests/policy/test_restored_rollouts.py
+++ b/tests/policy/test_restored_rollouts.py
@@ -4,7 +4,7 @@
 
 from wigeonfall.model.rollout import Move
 from wigeonfall.model.rollout import Rollout
-from wigeonfall.policy import rollout as policy
+from wigeonfall.policy.versions import rollout as policy
 
 START = Move('m1', 'start', 'ana', 'why', 10.0, 0.01)
 FIRST = Rollout('lm', 1, 'v1', 'v2', 0.0, 90.0, 1.0, moves=(START,))
--- a/tests/policy/test_retention.py
+++ b/tests/policy/test_retention.py
@@ -2,8 +2,8 @@
 
 from wigeonfall.model.answer import WholeAnswer
 from wigeonfall.model import order
-from wigeonfall.policy import ledger
-from wigeonfall.policy import retention
+from wigeonfall.policy.orders import ledger
+from wigeonfall.policy.orders import retention
 
 START_UNIX_S = 1_700_000_000.0
 ORDERS_PER_S = 30
--- a/tests/policy/test_retry.py
+++ b/tests/policy/test_retry.py
@@ -3,7 +3,7 @@
 import hypothesis
 from hypothesis import strategies as st
 
-from wigeonfall.policy import retry
+from wigeonfall.policy.room import retry
 
 LATE_DEADLINE_S = 1e9
 
--- a/tests/policy/test_rollout.py
+++ b/tests/policy/test_rollout.py
@@ -10,7 +10,7 @@
 from wigeonfall.model.rollout import Move
 from wigeonfall.model.rollout import Phase
 from wigeonfall.model.rollout import Rollout
-from wigeonfall.policy import rollout as policy
+from wigeonfall.policy.versions import rollout as policy
 
 ROLLOUT = Rollout('lm', 1, 'v1', 'v2', 0.0, 600.0, 100.0)
 ENOUGH = policy.DecisionInputs(
--- a/tests/policy/test_target_rates.py
+++ b/tests/policy/test_target_rates.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from wigeonfall.policy import target_rates
-from wigeonfall.policy.target_rates import TargetRates
+from wigeonfall.policy.targets import target_rates
+from wigeonfall.policy.targets.target_rates import TargetRates
 
 
 @pytest.mark.parametrize(
--- a/tests/policy/test_target_reports.py
+++ b/tests/policy/test_target_reports.py
@@ -5,9 +5,9 @@
 
 from wigeonfall.model.target import Target
 from wigeonfall.model.target import TargetState
-from wigeonfall.policy import target_reports
-from wigeonfall.policy.target_reports import Backoff
-from wigeonfall.policy.target_reports import TargetReport
+from wigeonfall.policy.targets import target_reports
+from wigeonfall.policy.targets.target_reports import Backoff
+from wigeonfall.policy.targets.target_reports import TargetReport
 
 reports = strategies.builds(
     TargetReport,
--- a/tests/policy/test_target_versions.py
+++ b/tests/policy/test_target_versions.py
@@ -7,7 +7,7 @@
 from wigeonfall.model.rollout import Phase
 from wigeonfall.model.rollout import Rollout
 from wigeonfall.model.target import Target
-from wigeonfall.policy import target_versions
+from wigeonfall.policy.targets import target_versions
 
 ROLLOUT = Rollout('lm', 1, 'v1', 'v2', 0.0, 600.0, 100.0)
 
--- a/tests/policy/test_target_view.py
+++ b/tests/policy/test_target_view.py
@@ -4,10 +4,10 @@
 
 from wigeonfall.model.target import Target
 from wigeonfall.model.target import TargetState
-from wigeonfall.policy.target_view import DEPARTED_KEPT_S
-from wigeonfall.policy.target_view import EXPIRY_S
-from wigeonfall.policy.target_view import RENEWAL_S
-from wigeonfall.policy.target_view import TargetView
+from wigeonfall.policy.targets.target_view import DEPARTED_KEPT_S
+from wigeonfall.policy.targets.target_view import EXPIRY_S
+from wigeonfall.policy.targets.target_view import RENEWAL_S
+from wigeonfall.policy.targets.target_view import TargetView
 
 A = Target('a', 's', 'dc', '10.0.0.1:1')
 B = Target('b', 's', 'dc', '10.0.0.2:1')
--- a/tests/policy/test_token_quota.py
+++ b/tests/policy/test_token_quota.py
@@ -7,12 +7,12 @@
 import pytest
 
 from tests.policy.test_routing import make_customer
-from wigeonfall.policy import token_quota
-from wigeonfall.policy.token_quota import Charge
-from wigeonfall.policy.token_quota import PeerUsage
-from wigeonfall.policy.token_quota import PeerVisibility
-from wigeonfall.policy.token_quota import QuotaTerms
-from wigeonfall.policy.token_quota import TokenQuotas
+from wigeonfall.policy.room import token_quota
+from wigeonfall.policy.room.token_quota import Charge
+from wigeonfall.policy.room.token_quota import PeerUsage
+from wigeonfall.policy.room.token_quota import PeerVisibility
+from wigeonfall.policy.room.token_quota import QuotaTerms
+from wigeonfall.policy.room.token_quota import TokenQuotas
 
 PEERS = PeerVisibility({'peer', 'i0', 'i1', 'i2'})
 LIMIT_TOKENS = 1000.0 * token_quota.WINDOW_S + 2000.0
--- a/tests/policy/test_version_comparison.py
+++ b/tests/policy/test_version_comparison.py
@@ -6,8 +6,8 @@
 
 from wigeonfall.model.rollout import Criteria
 from wigeonfall.model.rollout import Outcome
-from wigeonfall.policy import outcome_counts
-from wigeonfall.policy import version_comparison
+from wigeonfall.policy.versions import outcome_counts
+from wigeonfall.policy.versions import version_comparison
 
 OLD_ERRORS = 0.01
 
--- a/tests/policy/test_version_failures.py
+++ b/tests/policy/test_version_failures.py
@@ -6,11 +6,11 @@
 import pytest
 
 from tests.policy.test_version_trial import ORDER
-from wigeonfall.policy import version_failures
-from wigeonfall.policy.version_failures import Answers
-from wigeonfall.policy.version_failures import Comparison
-from wigeonfall.policy.version_trial import State
-from wigeonfall.policy.version_trial import Trials
+from wigeonfall.policy.versions import version_failures
+from wigeonfall.policy.versions.version_failures import Answers
+from wigeonfall.policy.versions.version_failures import Comparison
+from wigeonfall.policy.versions.version_trial import State
+from wigeonfall.policy.versions.version_trial import Trials
 
 DURATION_S = 60.0
 STEP_S = 0.5
--- a/tests/policy/test_version_pace.py
+++ b/tests/policy/test_version_pace.py
@@ -9,8 +9,8 @@
 from tests.policy.test_version_trial import make_trials
 from tests.policy.test_version_trial import new_version_share
 from tests.policy.test_version_trial import ORDER
-from wigeonfall.policy.version_trial import State
-from wigeonfall.policy.version_trial import Trials
+from wigeonfall.policy.versions.version_trial import State
+from wigeonfall.policy.versions.version_trial import Trials
 
 SPEEDS = (0.55, 1.0, 2.8)  # published speeds of unlike targets
 PACE_S = 0.03  # between events at a target of speed 1
--- a/tests/policy/test_version_trial.py
+++ b/tests/policy/test_version_trial.py
@@ -3,10 +3,10 @@
 import attrs
 import pytest
 
-from wigeonfall.policy import version_trial
-from wigeonfall.policy.version_trial import Order
-from wigeonfall.policy.version_trial import State
-from wigeonfall.policy.version_trial import Trials
+from wigeonfall.policy.versions import version_trial
+from wigeonfall.policy.versions.version_trial import Order
+from wigeonfall.policy.versions.version_trial import State
+from wigeonfall.policy.versions.version_trial import Trials
 
 ORDER = Order('s', 's', 'v2', 12.0, State.RUNNING)
 
--- a/tests/policy/test_waiting.py
+++ b/tests/policy/test_waiting.py
@@ -7,10 +7,10 @@
 
 from tests.policy.test_load_balancer import make_balancer
 from tests.policy.test_load_balancer import train
-from wigeonfall.policy import patience
-from wigeonfall.policy.target_stats import RequestSize
-from wigeonfall.policy.waiting import PendingRequest
-from wigeonfall.policy.waiting import RequestQueue
+from wigeonfall.policy.room import patience
+from wigeonfall.policy.room.waiting import PendingRequest
+from wigeonfall.policy.room.waiting import RequestQueue
+from wigeonfall.policy.targets.target_stats import RequestSize
 
 GOAL_S = 0.8
 PATIENCE_S = 3.2
--- a/tests/serving/test_admission.py
+++ b/tests/serving/test_admission.py
@@ -10,7 +10,7 @@
 
 from tests.fakes import arbitration
 from wigeonfall.model import refusal
-from wigeonfall.policy import grants
+from wigeonfall.policy.room import grants
 from wigeonfall.serving import admission
 
 INSTANCES = 3
--- a/tests/serving/test_arbiter.py
+++ b/tests/serving/test_arbiter.py
@@ -2,7 +2,7 @@
 
 from tests.fakes import arbitration
 from wigeonfall.model import instance
-from wigeonfall.policy import grants
+from wigeonfall.policy.room import grants
 from wigeonfall.serving import arbiter
 
 
--- a/tests/serving/test_ledger.py
+++ b/tests/serving/test_ledger.py
@@ -16,7 +16,7 @@
 from wigeonfall.model import instance
 from wigeonfall.model import order
 from wigeonfall.model.order import Verdict
-from wigeonfall.policy import retention
+from wigeonfall.policy.orders import retention
 from wigeonfall.ports.ledger import LedgerError
 from wigeonfall.ports.ledger import LedgerPeers
 from wigeonfall.serving import ledger
--- a/tests/serving/test_membership.py
+++ b/tests/serving/test_membership.py
@@ -7,7 +7,7 @@
 from wigeonfall.model.target import Target
 from wigeonfall.policy import membership as policy
 from wigeonfall.policy.membership import Role
-from wigeonfall.policy import target_reports
+from wigeonfall.policy.targets import target_reports
 from wigeonfall.ports.platform import LiveList
 from wigeonfall.serving.membership import Membership
 
--- a/tests/serving/test_orders_schedules.py
+++ b/tests/serving/test_orders_schedules.py
@@ -23,7 +23,7 @@
 from wigeonfall.model import order
 from wigeonfall.model import refusal
 from wigeonfall.model.refusal import Code
-from wigeonfall.policy import retention
+from wigeonfall.policy.orders import retention
 from wigeonfall.serving import ledger
 from wigeonfall.serving import orders
 from wigeonfall.serving import slices
--- a/tests/serving/test_rollout_exchange.py
+++ b/tests/serving/test_rollout_exchange.py
@@ -10,7 +10,7 @@
 from wigeonfall.model.rollout import Move
 from wigeonfall.model.rollout import Outcome
 from wigeonfall.model.rollout import Rollout
-from wigeonfall.policy import outcome_counts
+from wigeonfall.policy.versions import outcome_counts
 from wigeonfall.serving import rollout_exchange as exchange
 
 TIMES_S = strategies.none() | strategies.floats(0, 1000)
--- a/tests/users_platform/test_manifest.py
+++ b/tests/users_platform/test_manifest.py
@@ -13,7 +13,7 @@
 from wigeonfall.model.routing import Repeat
 from wigeonfall.model.routing import ServiceWeight
 from wigeonfall.model.target import TargetState
-from wigeonfall.policy.version_trial import State
+from wigeonfall.policy.versions.version_trial import State
 from wigeonfall.ports.platform import StoredObject
 
 MANIFEST = {
--- a/wigeonfall/adapters/admission_messages.py
+++ b/wigeonfall/adapters/admission_messages.py
@@ -5,14 +5,14 @@
 
 from collections.abc import Iterable
 
-from ..policy.grants import AnswerReport
-from ..policy.grants import Decision
-from ..policy.grants import Granted
-from ..policy.grants import HeldGrant
-from ..policy.grants import PendingRequest
-from ..policy.grants import Revoked
-from ..policy.grants import Shed
-from ..policy.grants import ShedReason
+from ..policy.room.grants import AnswerReport
+from ..policy.room.grants import Decision
+from ..policy.room.grants import Granted
+from ..policy.room.grants import HeldGrant
+from ..policy.room.grants import PendingRequest
+from ..policy.room.grants import Revoked
+from ..policy.room.grants import Shed
+from ..policy.room.grants import ShedReason
 from .proto import admission_pb2
 
 _REASONS = {
--- a/wigeonfall/adapters/admission_peers.py
+++ b/wigeonfall/adapters/admission_peers.py
@@ -18,10 +18,10 @@
 from ..events import Event
 from ..model.instance import Instance
 from ..model.service import Service
-from ..policy.grants import AnswerReport
-from ..policy.grants import HeldGrant
-from ..policy.grants import PendingRequest
 from ..policy import rendezvous
+from ..policy.room.grants import AnswerReport
+from ..policy.room.grants import HeldGrant
+from ..policy.room.grants import PendingRequest
 from ..ports.arbiters import ArbiterLink
 from ..recorder import Record
 from ..serving.admission import Admission
--- a/wigeonfall/adapters/admission_server.py
+++ b/wigeonfall/adapters/admission_server.py
@@ -9,8 +9,8 @@
 from . import admission_messages
 from . import admission_streams
 from ..model.instance import Instance
-from ..policy.grants import Decision
-from ..policy.grants import PendingRequest
+from ..policy.room.grants import Decision
+from ..policy.room.grants import PendingRequest
 from ..serving.arbiter import Arbiters
 from ..serving.arbiter import Session
 from .admission_streams import Outbox
--- a/wigeonfall/adapters/membership_topic.py
+++ b/wigeonfall/adapters/membership_topic.py
@@ -6,7 +6,7 @@
 
 from ..model.instance import Instance
 from ..policy.membership import Member
-from ..policy.target_reports import TargetReport
+from ..policy.targets.target_reports import TargetReport
 from ..ports.peers import Topic
 from ..serving.membership import Membership
 from ..serving.membership import Message
--- a/wigeonfall/commands/rollout.py
+++ b/wigeonfall/commands/rollout.py
@@ -13,7 +13,7 @@
 import typer
 
 from ..model.rollout import Rollout
-from ..policy import rollout as policy
+from ..policy.versions import rollout as policy
 from ..ports.platform import Platform
 from ..ports.platform import PlatformErrorKind
 from ..serving import rollout_changes as changes
--- a/wigeonfall/forwarding/arbiter.py
+++ b/wigeonfall/forwarding/arbiter.py
@@ -12,11 +12,11 @@
 import attrs
 
 from ..events import Event
-from ..policy.load_balancer import LoadBalancer
-from ..policy.target_stats import RequestSize
-from ..policy.token_quota import Charge
-from ..policy.token_quota import OverLimit
-from ..policy.waiting import PendingRequest
+from ..policy.room.token_quota import Charge
+from ..policy.room.token_quota import OverLimit
+from ..policy.room.waiting import PendingRequest
+from ..policy.targets.load_balancer import LoadBalancer
+from ..policy.targets.target_stats import RequestSize
 from ..recorder import Record
 from .arbiter_messages import ArbiterDecisions
 from .arbiter_messages import ClientState
--- a/wigeonfall/forwarding/attempt.py
+++ b/wigeonfall/forwarding/attempt.py
@@ -10,7 +10,7 @@
 
 from . import exchange as exchange_module
 from ..model.target import Target
-from ..policy import target_rates
+from ..policy.targets import target_rates
 from .exchange import Exchange
 from .exchange import ExchangeError
 from .header_names import HeaderNames
--- a/wigeonfall/forwarding/call_handler.py
+++ b/wigeonfall/forwarding/call_handler.py
@@ -8,11 +8,11 @@
 from result import Err
 
 from . import attempt as attempt_module
-from ..policy import patience
+from ..policy.room import patience
+from ..policy.room.token_quota import Charge
+from ..policy.room.token_quota import OverLimit
+from ..policy.room import waiting
 from ..policy import routing
-from ..policy.token_quota import Charge
-from ..policy.token_quota import OverLimit
-from ..policy import waiting
 from ..recorder import Record
 from .attempt import AttemptContext
 from .calls import Call
--- a/wigeonfall/forwarding/cluster_state.py
+++ b/wigeonfall/forwarding/cluster_state.py
@@ -12,11 +12,11 @@
 from .. import decoding
 from ..events import Event
 from ..model.target import Target
-from ..policy.load_balancer import LoadBalancer
-from ..policy.restored_orders import RestoredOrders
+from ..policy.orders.restored_orders import RestoredOrders
 from ..policy import routing
-from ..policy.target_view import TargetView
-from ..policy.version_trial import Trials
+from ..policy.targets.load_balancer import LoadBalancer
+from ..policy.targets.target_view import TargetView
+from ..policy.versions.version_trial import Trials
 from ..ports.platform import StoredObject
 from ..recorder import Record
 from .platform_adapter import PlatformAdapter
--- a/wigeonfall/forwarding/customer_quotas.py
+++ b/wigeonfall/forwarding/customer_quotas.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from ..policy import token_quota
+from ..policy.room import token_quota
 from .cluster_state import ClusterState
 from .settings import QuotaSettings
 from .topology import Topology
--- a/wigeonfall/forwarding/final_answers.py
+++ b/wigeonfall/forwarding/final_answers.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from ..policy import patience
-from ..policy.quarantine import Hold
-from ..policy.token_quota import OverLimit
+from ..policy.room import patience
+from ..policy.room.token_quota import OverLimit
+from ..policy.targets.quarantine import Hold
 from .calls import Reply
 from .outcomes import Outcomes
 from .outcomes import Progress
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -14,11 +14,11 @@
 from . import internal_pages
 from ..model.routing import CallerLimits
 from ..model.target import Target
-from ..policy.load_balancer import LoadBalancer
-from ..policy.quarantine import Quarantines
-from ..policy import resend_budget
-from ..policy import token_quota
-from ..policy.version_trial import Trials
+from ..policy.room import resend_budget
+from ..policy.room import token_quota
+from ..policy.targets.load_balancer import LoadBalancer
+from ..policy.targets.quarantine import Quarantines
+from ..policy.versions.version_trial import Trials
 from ..recorder import Record
 from . import resend_budgets
 from . import slot_client
--- a/wigeonfall/forwarding/observations.py
+++ b/wigeonfall/forwarding/observations.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 
 from ..events import Event
-from ..policy.load_balancer import LoadBalancer
-from ..policy.target_stats import RequestSize
+from ..policy.targets.load_balancer import LoadBalancer
+from ..policy.targets.target_stats import RequestSize
 from ..recorder import Record
 from .arbiter_messages import Report
 
--- a/wigeonfall/forwarding/part_watch.py
+++ b/wigeonfall/forwarding/part_watch.py
@@ -8,10 +8,10 @@
 
 from ..events import Event
 from ..model.target import Target
-from ..policy.quarantine import Hold
-from ..policy.quarantine import PartNews
-from ..policy.quarantine import PROOF_S
-from ..policy.quarantine import Quarantines
+from ..policy.targets.quarantine import Hold
+from ..policy.targets.quarantine import PartNews
+from ..policy.targets.quarantine import PROOF_S
+from ..policy.targets.quarantine import Quarantines
 from ..recorder import Record
 from .routed_request import RoutedRequest
 
--- a/wigeonfall/forwarding/peer_news.py
+++ b/wigeonfall/forwarding/peer_news.py
@@ -16,10 +16,10 @@
 
 from .. import decoding
 from . import message_fields
-from ..policy.quarantine import PartNews
-from ..policy.quarantine import Suspect
-from ..policy.target_rates import RateNews
-from ..policy.target_rates import TargetRates
+from ..policy.targets.quarantine import PartNews
+from ..policy.targets.quarantine import Suspect
+from ..policy.targets.target_rates import RateNews
+from ..policy.targets.target_rates import TargetRates
 from ..recorder import Record
 from .observations import record_rate_limit
 from .part_watch import PartWatch
--- a/wigeonfall/forwarding/peer_state.py
+++ b/wigeonfall/forwarding/peer_state.py
@@ -11,8 +11,8 @@
 from .. import decoding
 from . import message_fields
 from ..model import address as address_module
-from ..policy.moving_average import PeerAverage
-from ..policy.target_stats import TargetLoad
+from ..policy.targets.moving_average import PeerAverage
+from ..policy.targets.target_stats import TargetLoad
 
 MAX_STATE_BYTES = 4 << 20  # of a datagram, once decompressed
 _COMPRESSION_LEVEL = 1  # fastest, as messages are small and frequent
--- a/wigeonfall/forwarding/peers.py
+++ b/wigeonfall/forwarding/peers.py
@@ -17,7 +17,7 @@
 from . import peer_news
 from . import peer_state
 from ..policy.arbiters import Candidate
-from ..policy.target_stats import PeerLoad
+from ..policy.targets.target_stats import PeerLoad
 from ..recorder import Record
 from .arbiter_messages import ArbiterDecisions
 from .arbiter_messages import ClientState
--- a/wigeonfall/forwarding/platform_adapter.py
+++ b/wigeonfall/forwarding/platform_adapter.py
@@ -7,8 +7,8 @@
 
 from ..model.routing import RoutingTable
 from ..model.target import Target
-from ..policy.version_trial import Order
-from ..policy.version_trial import State
+from ..policy.versions.version_trial import Order
+from ..policy.versions.version_trial import State
 from ..ports.objects import ObjectStore
 from ..ports.platform import StoredObject
 from .header_names import HeaderNames
--- a/wigeonfall/forwarding/relaying.py
+++ b/wigeonfall/forwarding/relaying.py
@@ -11,7 +11,7 @@
 
 from ..model.target import Target
 from ..policy.event_stream import EventSplitter
-from ..policy.quarantine import PROOF_S
+from ..policy.targets.quarantine import PROOF_S
 from .answer_buffers import HeldAnswer
 from .calls import Headers
 from .calls import Reply
--- a/wigeonfall/forwarding/resend_budgets.py
+++ b/wigeonfall/forwarding/resend_budgets.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from ..policy import resend_budget
+from ..policy.room import resend_budget
 
 
 def make_resend_budgets(
--- a/wigeonfall/forwarding/routed_request.py
+++ b/wigeonfall/forwarding/routed_request.py
@@ -12,7 +12,7 @@
 from ..model.routing import KeyHolder
 from ..model.routing import Route
 from ..policy import routing
-from ..policy.target_stats import RequestSize
+from ..policy.targets.target_stats import RequestSize
 from .calls import Call
 from .calls import Headers
 from .header_names import HeaderNames
--- a/wigeonfall/forwarding/scheduler.py
+++ b/wigeonfall/forwarding/scheduler.py
@@ -9,11 +9,11 @@
 import attrs
 
 from ..model.target import Target
-from ..policy.load_balancer import LoadBalancer
-from ..policy.target_stats import PeerLoad
-from ..policy.target_stats import RequestSize
-from ..policy.waiting import PendingRequest
-from ..policy.waiting import RequestQueue
+from ..policy.room.waiting import PendingRequest
+from ..policy.room.waiting import RequestQueue
+from ..policy.targets.load_balancer import LoadBalancer
+from ..policy.targets.target_stats import PeerLoad
+from ..policy.targets.target_stats import RequestSize
 
 TICK_S = 0.02  # too short for callers to notice
 # A longer queue is not scanned at each event, but after a delay.
--- a/wigeonfall/forwarding/settings.py
+++ b/wigeonfall/forwarding/settings.py
@@ -9,8 +9,8 @@
 from .. import ini
 from .. import settings
 from ..configuration_file import check_name
-from ..policy import resend_budget
-from ..policy import token_quota
+from ..policy.room import resend_budget
+from ..policy.room import token_quota
 from ..settings import InstanceSettings
 from ..settings import LogSettings
 from ..settings import PlatformSettings
--- a/wigeonfall/forwarding/slot_client.py
+++ b/wigeonfall/forwarding/slot_client.py
@@ -14,9 +14,9 @@
 from ..events import Event
 from ..policy import arbiters
 from ..policy.arbiters import Candidate
-from ..policy.token_quota import Charge
-from ..policy.token_quota import OverLimit
-from ..policy.waiting import PendingRequest
+from ..policy.room.token_quota import Charge
+from ..policy.room.token_quota import OverLimit
+from ..policy.room.waiting import PendingRequest
 from ..recorder import Record
 from .arbiter_messages import ArbiterDecisions
 from .arbiter_messages import ClientState
--- a/wigeonfall/forwarding/state_exchange.py
+++ b/wigeonfall/forwarding/state_exchange.py
@@ -7,11 +7,11 @@
 
 import attrs
 
-from ..policy.load_balancer import LoadBalancer
-from ..policy.target_stats import TargetLoad
-from ..policy import token_quota
-from ..policy.token_quota import TokenQuotas
-from ..policy.version_evidence import Evidence
+from ..policy.room import token_quota
+from ..policy.room.token_quota import TokenQuotas
+from ..policy.targets.load_balancer import LoadBalancer
+from ..policy.targets.target_stats import TargetLoad
+from ..policy.versions.version_evidence import Evidence
 from . import store_position
 from .cluster_state import ClusterState
 from .peer_state import PeerState
--- a/wigeonfall/forwarding/topology.py
+++ b/wigeonfall/forwarding/topology.py
@@ -7,7 +7,7 @@
 
 from ..policy import arbiters
 from ..policy.arbiters import Candidate
-from ..policy import token_quota
+from ..policy.room import token_quota
 from .peers import Peers
 from .settings import ForwardingSettings
 
--- /dev/null
+++ b/wigeonfall/policy/orders/__init__.py
@@ -0,0 +1,1 @@
+"""What is known of orders, and for how long."""
--- a/wigeonfall/policy/ledger.py
+++ b/wigeonfall/policy/orders/ledger.py
@@ -13,9 +13,9 @@
 import attrs
 import xxhash
 
-from ..model import order
-from ..model.order import OrderState
-from ..model.order import Verdict
+from ...model import order
+from ...model.order import OrderState
+from ...model.order import Verdict
 
 KEY_DIGEST_BYTES = 16
 MAX_KEY_TIME_AHEAD_S = 300.0
--- a/wigeonfall/policy/retention.py
+++ b/wigeonfall/policy/orders/retention.py
@@ -14,9 +14,9 @@
 
 import attrs
 
-from ..model.answer import WholeAnswer
-from ..model import order
-from ..model.order import OrderState
+from ...model.answer import WholeAnswer
+from ...model import order
+from ...model.order import OrderState
 
 COMPACT_BYTES = 32 * 1024
 SLICE_BYTES = 800 * 1024
--- /dev/null
+++ b/wigeonfall/policy/room/__init__.py
@@ -0,0 +1,1 @@
+"""Who waits, who gets room, and who is refused until when."""
--- a/wigeonfall/policy/admission.py
+++ b/wigeonfall/policy/room/admission.py
@@ -15,7 +15,9 @@
 import heapq
 from typing import TypeAlias
 
-from ..model.target import Target
+from ...model.target import Target
+from ..targets.placement import Placement
+from ..targets.target_account import TargetAccount
 from .fair_queue import FairQueue
 from .grants import AnswerReport
 from .grants import Decision
@@ -27,8 +29,6 @@
 from .grants import Shed
 from .grants import ShedReason
 from .grants import TargetLoad
-from .placement import Placement
-from .target_account import TargetAccount
 
 PREEMPTION_WAIT_S = 0.25
 PREEMPTION_WAIT_FRACTION = 0.1
--- a/wigeonfall/policy/best_times.py
+++ b/wigeonfall/policy/room/best_times.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from .target_stats import FIXED_COST_TOKENS
-from .target_stats import RequestSize
-from .target_stats import TargetEstimate
+from ..targets.target_stats import FIXED_COST_TOKENS
+from ..targets.target_stats import RequestSize
+from ..targets.target_stats import TargetEstimate
 
 
 class BestTimes:
--- a/wigeonfall/policy/shares.py
+++ b/wigeonfall/policy/room/shares.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from ..model.service import Service
+from ...model.service import Service
 from .grants import PoolLimits
 
 LOCAL_FRACTION = 0.5
--- a/wigeonfall/policy/token_quota.py
+++ b/wigeonfall/policy/room/token_quota.py
@@ -25,7 +25,7 @@
 
 import attrs
 
-from ..model.routing import KeyHolder
+from ...model.routing import KeyHolder
 from .usage_window import CustomerUsage
 from .usage_window import MIN_DELAY_S
 from .usage_window import UsageWindow
--- a/wigeonfall/policy/waiting.py
+++ b/wigeonfall/policy/room/waiting.py
@@ -25,18 +25,18 @@
 
 import attrs
 
+from ..targets.load_balancer import LoadBalancer
+from ..targets.load_balancer import TimeBudget
+from ..targets.moving_average import MovingAverage
+from ..targets.target_stats import RequestSize
+from ..targets.target_stats import TargetEstimate
+from ..targets.target_stats import TargetStats
 from .best_times import BestTimes
 from .best_times import mean_work
 from .best_times import MeanWork
 from .expected_room import ExpectedRoom
-from .load_balancer import LoadBalancer
-from .load_balancer import TimeBudget
-from .moving_average import MovingAverage
 from .patience import RETRY_SHARE
 from .rank_shares import RankShares
-from .target_stats import RequestSize
-from .target_stats import TargetEstimate
-from .target_stats import TargetStats
 
 MAX_SHORT_S = 0.3  # from dispatch to the end of a short answer
 TRANSIT_S = 0.02  # to the target and back to the caller
--- /dev/null
+++ b/wigeonfall/policy/targets/__init__.py
@@ -0,0 +1,1 @@
+"""What is known of targets, and which of them gets a request."""
--- a/wigeonfall/policy/load_balancer.py
+++ b/wigeonfall/policy/targets/load_balancer.py
@@ -14,7 +14,7 @@
 
 import attrs
 
-from ..model.target import Target
+from ...model.target import Target
 from .moving_average import PeerAverage
 from .target_rates import TargetRates
 from .target_stats import DEFAULT_SLOTS
--- a/wigeonfall/policy/placement.py
+++ b/wigeonfall/policy/targets/placement.py
@@ -9,9 +9,9 @@
 import attrs
 
 from . import rates
-from .grants import AnswerReport
-from .grants import PendingRequest
-from .grants import TargetLoad
+from ..room.grants import AnswerReport
+from ..room.grants import PendingRequest
+from ..room.grants import TargetLoad
 from .prefixes import PrefixCacheModel
 from .rates import DEFAULT_DECODE_S
 from .rates import DEFAULT_PREFILL_S
--- a/wigeonfall/policy/target_account.py
+++ b/wigeonfall/policy/targets/target_account.py
@@ -2,9 +2,9 @@
 
 import attrs
 
-from .grants import HeldGrant
-from .grants import PendingRequest
-from .grants import PoolLimits
+from ..room.grants import HeldGrant
+from ..room.grants import PendingRequest
+from ..room.grants import PoolLimits
 
 
 @attrs.define
--- a/wigeonfall/policy/target_reports.py
+++ b/wigeonfall/policy/targets/target_reports.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from ..model.target import Target
-from ..model.target import TargetState
+from ...model.target import Target
+from ...model.target import TargetState
 
 BACKOFF_S = 2.0
 RETENTION_S = 600.0
--- a/wigeonfall/policy/target_stats.py
+++ b/wigeonfall/policy/targets/target_stats.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ..model.target import Target
+from ...model.target import Target
 from .moving_average import combined
 from .moving_average import MovingAverage
 from .moving_average import PeerAverage
--- a/wigeonfall/policy/target_versions.py
+++ b/wigeonfall/policy/targets/target_versions.py
@@ -3,10 +3,10 @@
 from collections.abc import Sequence
 import math
 
-from ..model.rollout import Phase
-from ..model.rollout import Rollout
-from ..model.target import Target
-from . import rendezvous
+from ...model.rollout import Phase
+from ...model.rollout import Rollout
+from ...model.target import Target
+from .. import rendezvous
 
 
 def new_targets(share: float, targets: int) -> int:
--- a/wigeonfall/policy/target_view.py
+++ b/wigeonfall/policy/targets/target_view.py
@@ -11,8 +11,8 @@
 
 import attrs
 
-from ..model.target import Target
-from ..model.target import TargetState
+from ...model.target import Target
+from ...model.target import TargetState
 
 RENEWAL_S = 2.0  # entries are renewed within about this time after an outage
 EXPIRY_S = 5.0  # entries of silent targets are removed before this time
--- a/wigeonfall/policy/outcome_counts.py
+++ b/wigeonfall/policy/versions/outcome_counts.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from ..model.rollout import Outcome
+from ...model.rollout import Outcome
 
 BUCKETS_PER_OCTAVE = 4
 OCTAVES = 18
--- a/wigeonfall/policy/rollout.py
+++ b/wigeonfall/policy/versions/rollout.py
@@ -9,11 +9,11 @@
 from result import Result
 import xxhash
 
-from .. import errors
-from ..model.rollout import MAX_MOVES
-from ..model.rollout import Move
-from ..model.rollout import Phase
-from ..model.rollout import Rollout
+from ... import errors
+from ...model.rollout import MAX_MOVES
+from ...model.rollout import Move
+from ...model.rollout import Phase
+from ...model.rollout import Rollout
 
 FULL_SHARE = 1.0
 GROWTH_FACTORS = (2.0, 3.0, 4.0, 6.0, 10.0)
--- a/wigeonfall/policy/version_comparison.py
+++ b/wigeonfall/policy/versions/version_comparison.py
@@ -23,7 +23,7 @@
 
 import attrs
 
-from ..model.rollout import Criteria
+from ...model.rollout import Criteria
 from . import outcome_counts
 
 ALTERNATIVES = (0.05, 0.2, 0.6)
--- a/wigeonfall/ports/arbiters.py
+++ b/wigeonfall/ports/arbiters.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-from ..policy.grants import AnswerReport
-from ..policy.grants import HeldGrant
-from ..policy.grants import PendingRequest
+from ..policy.room.grants import AnswerReport
+from ..policy.room.grants import HeldGrant
+from ..policy.room.grants import PendingRequest
 
 
 @attrs.frozen
--- a/wigeonfall/serving/available_targets.py
+++ b/wigeonfall/serving/available_targets.py
@@ -12,9 +12,9 @@
 
 from ..events import Event
 from ..model.target import Target
-from ..policy import target_reports
-from ..policy.target_reports import Backoff
-from ..policy.target_reports import TargetReport
+from ..policy.targets import target_reports
+from ..policy.targets.target_reports import Backoff
+from ..policy.targets.target_reports import TargetReport
 from ..recorder import Record
 
 REPORTS_PER_MESSAGE = 64
--- a/wigeonfall/serving/handler_assembly.py
+++ b/wigeonfall/serving/handler_assembly.py
@@ -13,7 +13,7 @@
 from ..model.request import Request
 from ..model import rollout
 from . import orders
-from ..policy import retry
+from ..policy.room import retry
 from . import rate_limits
 from . import rollouts
 from .attempts import AttemptContext
--- a/wigeonfall/serving/ledger.py
+++ b/wigeonfall/serving/ledger.py
@@ -21,7 +21,7 @@
 from ..events import Event
 from ..model import instance
 from ..model import order
-from ..policy import ledger
+from ..policy.orders import ledger
 from ..policy import rendezvous
 from ..ports.ledger import Decisions
 from ..ports.ledger import LedgerError
--- a/wigeonfall/serving/membership.py
+++ b/wigeonfall/serving/membership.py
@@ -18,7 +18,7 @@
 from ..policy.membership import Member
 from ..policy.membership import ObservedMember
 from ..policy.membership import Role
-from ..policy.target_reports import TargetReport
+from ..policy.targets.target_reports import TargetReport
 from ..ports.platform import LiveList
 from ..recorder import Record
 from .available_targets import AvailableTargets
--- a/wigeonfall/serving/orders.py
+++ b/wigeonfall/serving/orders.py
@@ -27,8 +27,8 @@
 from ..model import refusal
 from ..model.refusal import Code
 from ..model import request as request_model
-from ..policy import ledger
-from ..policy import retention
+from ..policy.orders import ledger
+from ..policy.orders import retention
 from ..ports.ledger import LedgerError
 from ..recorder import Record
 
--- a/wigeonfall/serving/rate_limits.py
+++ b/wigeonfall/serving/rate_limits.py
@@ -19,7 +19,7 @@
 from ..model.refusal import Code
 from ..model.refusal import not_run
 from ..model.refusal import Refusal
-from ..policy import rate_limits
+from ..policy.room import rate_limits
 from ..ports.peers import Topic
 from .admission import LiveInstances
 
--- a/wigeonfall/serving/request_parsing.py
+++ b/wigeonfall/serving/request_parsing.py
@@ -23,7 +23,7 @@
 from ..model.service import ServiceKind
 from ..model.tier import outranks
 from ..model.tier import Tier
-from ..policy import prompts
+from ..policy.targets import prompts
 from ..ports.callers import Call
 
 COMPLETIONS_PATH = '/v1/chat/completions'
--- a/wigeonfall/serving/rollout_changes.py
+++ b/wigeonfall/serving/rollout_changes.py
@@ -15,7 +15,7 @@
 
 from ..model.rollout import Move
 from ..model.rollout import Rollout
-from ..policy import rollout as policy
+from ..policy.versions import rollout as policy
 from ..ports.platform import Platform
 from ..ports.platform import PlatformError
 from ..ports.platform import PlatformErrorKind
--- a/wigeonfall/serving/rollout_control.py
+++ b/wigeonfall/serving/rollout_control.py
@@ -20,8 +20,8 @@
 from ..model.rollout import Rollout
 from ..model.target import Target
 from ..policy import rendezvous
-from ..policy import rollout as policy
-from ..policy import target_versions
+from ..policy.targets import target_versions
+from ..policy.versions import rollout as policy
 from ..ports.platform import Platform
 from ..ports.platform import StoredObject
 from ..recorder import Record
--- a/wigeonfall/serving/rollout_exchange.py
+++ b/wigeonfall/serving/rollout_exchange.py
@@ -13,9 +13,9 @@
 import cattrs
 
 from ..model.rollout import Rollout
-from ..policy.outcome_counts import Counts
-from ..policy.outcome_counts import CountsKey
-from ..policy.outcome_counts import InstanceCounts
+from ..policy.versions.outcome_counts import Counts
+from ..policy.versions.outcome_counts import CountsKey
+from ..policy.versions.outcome_counts import InstanceCounts
 
 MAX_STATE_BYTES = 4_000_000
 COUNTS_PER_STATE = 40
--- a/wigeonfall/serving/rollout_trial.py
+++ b/wigeonfall/serving/rollout_trial.py
@@ -14,9 +14,9 @@
 import math
 
 from ..model.rollout import Rollout
-from ..policy import outcome_counts
-from ..policy import rollout as policy
-from ..policy import version_comparison
+from ..policy.versions import outcome_counts
+from ..policy.versions import rollout as policy
+from ..policy.versions import version_comparison
 
 REQUEST_RATE_HALF_LIFE_S = 10.0
 GROWTH_SETTLE_S = 5.0
--- a/wigeonfall/serving/rollouts.py
+++ b/wigeonfall/serving/rollouts.py
@@ -16,9 +16,9 @@
 from ..model.rollout import Outcome
 from ..model.rollout import Phase
 from ..model.rollout import Rollout
-from ..policy import outcome_counts
 from ..policy import rendezvous
-from ..policy import rollout as policy
+from ..policy.versions import outcome_counts
+from ..policy.versions import rollout as policy
 from ..ports.peers import Topic
 from ..ports.platform import StoredObject
 from ..recorder import Record
--- a/wigeonfall/serving/slices.py
+++ b/wigeonfall/serving/slices.py
@@ -23,8 +23,8 @@
 from ..events import Event
 from ..model import order
 from ..model.order import Verdict
-from ..policy import ledger
-from ..policy import retention
+from ..policy.orders import ledger
+from ..policy.orders import retention
 from ..ports.ledger import Decisions
 from ..ports.ledger import LedgerError
 from ..ports.platform import Platform
