Tell arbiters the route, customer and prompt parts of waiting requests

Slot requests named a rank and sizes only, so an arbiter could not tell kinds of requests apart and knew nothing of shared parts of prompts. Releases that know fewer fields drop messages with more of them, so an instance tells in its state which format it reads, and others send it no newer one. Parts are limited in number and length, as a datagram is. Decisions do not change yet.

--- a/wigeonfall/forwarding/arbiter.py
+++ b/wigeonfall/forwarding/arbiter.py
@@ -321,6 +321,9 @@
         queue_deadline_s=now_s + request.wait_left_s,
         size=RequestSize(request.prompt_tokens, request.answer_tokens),
         is_eligible=lambda target: target not in ineligible,
+        kind=request.kind,
+        customer=request.holder or request.customer,
+        parts=request.parts,
     )
 
 
--- a/wigeonfall/forwarding/arbiter_messages.py
+++ b/wigeonfall/forwarding/arbiter_messages.py
@@ -17,10 +17,15 @@
 from result import Err
 
 from .. import decoding
+from ..model.prompt import PromptPart
 
 # First byte of a message; the state of a peer begins with a different one.
 PLAIN_PREFIX = b'['
 COMPRESSED_PREFIX = b'~'
+# Formats that an instance reads, as it tells peers. In the first one, a slot
+# request ends before its kind; releases that know no other read nothing else.
+FIRST_FORMAT = 1
+NEWEST_FORMAT = 2
 COMPRESS_ABOVE_BYTES = 4000  # keeps long messages below the datagram limit
 MAX_MESSAGE_BYTES = 4 << 20  # once decompressed
 _COMPRESSION_LEVEL = 1  # fastest, as messages are small and frequent
@@ -30,6 +35,13 @@
     return tuple(values)
 
 
+def _parts(values: Iterable[Any]) -> tuple[PromptPart, ...]:
+    return tuple(
+        value if isinstance(value, PromptPart) else PromptPart(*value)
+        for value in values
+    )
+
+
 def _number_tuple(values: Iterable[float]) -> tuple[float, ...]:
     return tuple(values)
 
@@ -58,6 +70,9 @@
         tokens: tokens to charge.
         charge_is_retry: whether its caller was refused before, by its quota.
         most_wait_s: longest delay after which its caller retries.
+        kind: name of its route.
+        holder: its customer, also if it was charged before.
+        parts: parts of its prompt, in order.
     """
 
     id: str
@@ -76,6 +91,9 @@
     tokens: float
     charge_is_retry: bool
     most_wait_s: float
+    kind: str = ''
+    holder: str = ''
+    parts: tuple[PromptPart, ...] = attrs.field(default=(), converter=_parts)
 
 
 @attrs.frozen
@@ -197,14 +215,27 @@
     return operator.attrgetter(*(field.name for field in attrs.fields(cls)))
 
 
-_request_fields = _fields_of(SlotRequest)
+_all_request_fields = _fields_of(SlotRequest)
+_REQUEST_FIELDS = len(attrs.fields(SlotRequest))
+_FIRST_REQUEST_FIELDS = [f.name for f in attrs.fields(SlotRequest)].index(
+    'kind'
+)
 _held_fields = _fields_of(HeldSlot)
 _report_fields = _fields_of(Report)
 _grant_fields = _fields_of(Grant)
 _denial_fields = _fields_of(Denial)
 
 
-def _values(message: ClientState | ArbiterDecisions) -> list[Any]:
+def _request_fields(request: SlotRequest, message_format: int) -> list[Any]:
+    *values, parts = _all_request_fields(request)
+    if message_format < NEWEST_FORMAT:
+        return values[:_FIRST_REQUEST_FIELDS]
+    return [*values, [(part.id, part.tokens) for part in parts]]
+
+
+def _values(
+    message: ClientState | ArbiterDecisions, message_format: int
+) -> list[Any]:
     """Return the values of a message, in the order of its fields."""
     if isinstance(message, ClientState):
         return [
@@ -213,7 +244,10 @@
             message.incarnation,
             message.sequence,
             message.address,
-            [_request_fields(request) for request in message.requests],
+            [
+                _request_fields(request, message_format)
+                for request in message.requests
+            ],
             [_held_fields(slot) for slot in message.held],
             [_report_fields(report) for report in message.reports],
         ]
@@ -226,9 +260,12 @@
     ]
 
 
-def encode(message: ClientState | ArbiterDecisions) -> bytes:
-    """Encode a message."""
-    value = _values(message)
+def encode(
+    message: ClientState | ArbiterDecisions,
+    message_format: int = NEWEST_FORMAT,
+) -> bytes:
+    """Encode a message in a format that its recipient reads."""
+    value = _values(message, message_format)
     data = json.dumps(value, separators=(',', ':')).encode()
     if len(data) > COMPRESS_ABOVE_BYTES:
         return COMPRESSED_PREFIX + zlib.compress(data, _COMPRESSION_LEVEL)
@@ -274,7 +311,8 @@
         incarnation,
         sequence,
         address,
-        tuple(SlotRequest(*request) for request in requests),
+        # Later releases may append fields.
+        tuple(SlotRequest(*request[:_REQUEST_FIELDS]) for request in requests),
         tuple(HeldSlot(*slot) for slot in held),
         tuple(Report(*report) for report in reports),
     )
--- a/wigeonfall/forwarding/call_handler.py
+++ b/wigeonfall/forwarding/call_handler.py
@@ -238,6 +238,9 @@
                 name not in progress.excluded
                 and self._context.allows(request, name)
             ),
+            kind=route.name,
+            customer=request.customer.name if request.customer else '',
+            parts=request.parts,
         )
         charge = None
         if not progress.admitted:
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -139,6 +139,7 @@
             ),
             on_state=self._on_peer_state,
             on_arbiter_message=self._on_arbiter_message,
+            message_format=self._peers.message_format,
             send_on_change=lambda: (
                 not self._topology.uses_hubs(time.monotonic())
             ),
--- a/wigeonfall/forwarding/peers.py
+++ b/wigeonfall/forwarding/peers.py
@@ -24,6 +24,7 @@
 from .peer_news import NewsExchange
 from .peer_state import PeerState
 
+FORMAT_KEY = '.messages'  # in the revisions of a state; older ones ignore it
 MIN_SEND_INTERVAL_S = 0.05
 HEARTBEAT_INTERVAL_S = 0.25
 LIVE_TIMEOUT_S = 1.2  # several heartbeats
@@ -93,6 +94,15 @@
         self.add_addresses((state.address, *state.peers))
         return True
 
+    def message_format(self, address: str) -> int:
+        """Return the newest format of arbiter messages that a peer reads."""
+        formats = (
+            peer.state.revisions.get(FORMAT_KEY, arbiter_messages.FIRST_FORMAT)
+            for peer in self._peers.values()
+            if peer.state.address == address
+        )
+        return max(formats, default=arbiter_messages.FIRST_FORMAT)
+
     def live(self, now_s: float) -> list[Peer]:
         """Return the peers that are live."""
         return [
@@ -208,6 +218,8 @@
         on_state: called with each state of a peer.
         on_arbiter_message: called with each message of an arbiter or one of
             its clients.
+        message_format: returns the newest format of arbiter messages that an
+            address reads.
         send_on_change: returns whether changes are sent before the next
             heartbeat.
         news: exchanges news of prompt parts and targets.
@@ -220,6 +232,7 @@
         addresses: Callable[[], tuple[str, ...]],
         on_state: Callable[[PeerState], None],
         on_arbiter_message: Callable[[ClientState | ArbiterDecisions], None],
+        message_format: Callable[[str], int],
         send_on_change: Callable[[], bool],
         news: NewsExchange,
         record: Record,
@@ -229,6 +242,7 @@
         self._addresses = addresses
         self._on_state = on_state
         self._on_arbiter_message = on_arbiter_message
+        self._message_format = message_format
         self._send_on_change = send_on_change
         self._record = record
         self._transport: asyncio.DatagramTransport | None = None
@@ -299,7 +313,8 @@
         self, message: ClientState | ArbiterDecisions, address: str
     ) -> None:
         """Send a message of the arbiter or one of its clients."""
-        self._send(arbiter_messages.encode(message), address)
+        data = arbiter_messages.encode(message, self._message_format(address))
+        self._send(data, address)
 
     def _send(self, data: bytes, address: str) -> None:
         if self._transport is None:
--- a/wigeonfall/forwarding/routed_request.py
+++ b/wigeonfall/forwarding/routed_request.py
@@ -9,6 +9,7 @@
 from result import Result
 
 from .. import decoding
+from ..model.prompt import PromptPart
 from ..model.routing import KeyHolder
 from ..model.routing import Route
 from ..policy import routing
@@ -50,8 +51,8 @@
             served first.
         tokens: tokens that it counts against the customer's quota.
         size: prompt and answer tokens, by which its load is estimated.
-        prompt_parts: identifiers of the parts of its prompt, in order. Other
-            requests may share them, those of its session also the last one.
+        parts: parts of its prompt, in order. Other requests may share them,
+            those of its session also the last one.
         deadline_s: end of the caller's or the route's time limit, whichever
             is first, on the monotonic clock.
         caller_timeout_s: time that the caller waits from its arrival.
@@ -65,10 +66,15 @@
     rank: int
     tokens: float
     size: RequestSize
-    prompt_parts: tuple[str, ...]
+    parts: tuple[PromptPart, ...]
     deadline_s: float
     caller_timeout_s: float
 
+    @property
+    def prompt_parts(self) -> tuple[str, ...]:
+        """Identifiers of the parts of its prompt, in order."""
+        return tuple(part.id for part in self.parts)
+
 
 @attrs.frozen
 class Rejection:
@@ -121,7 +127,7 @@
             rank=_rank(route, customer),
             tokens=_tokens(customer, prompt, answer),
             size=RequestSize(prompt, answer),
-            prompt_parts=_prompt_parts(call, names),
+            parts=_prompt_parts(call, names),
             deadline_s=call.arrived_s + min(caller_timeout_s, route.timeout_s),
             caller_timeout_s=caller_timeout_s,
         )
@@ -230,10 +236,16 @@
     return prompt, answer
 
 
-def _prompt_parts(call: Call, names: HeaderNames) -> tuple[str, ...]:
-    value = call.header(names.prompt_parts.lower()).decode('latin-1')
-    identifiers = [part.partition(':')[0].strip() for part in value.split(',')]
-    return tuple(dict.fromkeys(filter(None, identifiers)))
+def _prompt_parts(call: Call, names: HeaderNames) -> tuple[PromptPart, ...]:
+    """Return the parts of a prompt; one without a length counts as empty."""
+    parts: dict[str, PromptPart] = {}
+    for entry in call.header(names.prompt_parts.lower()).split(b','):
+        name, _, length = entry.partition(b':')
+        part_id = name.strip().decode('latin-1')
+        tokens = decoding.whole_number(length.strip(), MAX_NUMBER)
+        if part_id:
+            parts.setdefault(part_id, PromptPart(part_id, tokens or 0))
+    return tuple(parts.values())
 
 
 def _rank(route: Route, customer: KeyHolder | None) -> int:
--- a/wigeonfall/forwarding/slot_client.py
+++ b/wigeonfall/forwarding/slot_client.py
@@ -6,12 +6,14 @@
 
 import asyncio
 from collections.abc import Callable
+import itertools
 import time
 from typing import TypeAlias
 
 import attrs
 
 from ..events import Event
+from ..model.prompt import PromptPart
 from ..policy import arbiters
 from ..policy.arbiters import Candidate
 from ..policy.room.token_quota import Charge
@@ -36,6 +38,8 @@
 REFRESH_INTERVAL_S = 0.25  # between messages while slots are held
 FINAL_SENDS = 2  # of a state with no slots left, as datagrams may be lost
 ARBITER_TIMEOUT_S = 0.2  # without a reply; far below the goals of callers
+MAX_SENT_PARTS = 16  # of a prompt; a kept part needs all before it
+MAX_PART_ID_CHARS = 64
 ARBITER_SUSPECT_S = 1.0  # an arbiter that timed out is not chosen meanwhile
 
 
@@ -369,6 +373,16 @@
         self._context.send(message, self._arbiter.address)
 
 
+def _sent_parts(parts: tuple[PromptPart, ...]) -> tuple[PromptPart, ...]:
+    """Return the parts to tell the arbiter, whose datagrams are limited."""
+    return tuple(
+        itertools.takewhile(
+            lambda part: len(part.id) <= MAX_PART_ID_CHARS,
+            parts[:MAX_SENT_PARTS],
+        )
+    )
+
+
 def _slot_request(waiting: _Waiting, now_s: float) -> SlotRequest:
     pending = waiting.pending
     charge = waiting.charge
@@ -389,4 +403,7 @@
         tokens=charge.tokens if charge else 0.0,
         charge_is_retry=charge.is_retry if charge else False,
         most_wait_s=round(charge.most_wait_s, 3) if charge else 0.0,
+        kind=pending.kind,
+        holder=pending.customer,
+        parts=_sent_parts(pending.parts),
     )
--- a/wigeonfall/forwarding/state_exchange.py
+++ b/wigeonfall/forwarding/state_exchange.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from . import arbiter_messages
 from ..policy.room import token_quota
 from ..policy.room.token_quota import TokenQuotas
 from ..policy.targets.load_balancer import LoadBalancer
@@ -15,6 +16,7 @@
 from . import store_position
 from .cluster_state import ClusterState
 from .peer_state import PeerState
+from .peers import FORMAT_KEY
 from .peers import Peers
 from .scheduler import Scheduler
 from .topology import Topology
@@ -62,7 +64,10 @@
             waiting=self.scheduler.waiting(),
             taken=self.quotas.taken(),
             used=self.quotas.used(now_s),
-            revisions=self._advertised_revisions(now_s),
+            revisions={
+                **self._advertised_revisions(now_s),
+                FORMAT_KEY: arbiter_messages.NEWEST_FORMAT,
+            },
             peers=topology.advertised_addresses(now_s),
             data_center=topology.data_center,
             capacity=topology.capacity,
--- a/wigeonfall/policy/room/waiting.py
+++ b/wigeonfall/policy/room/waiting.py
@@ -25,6 +25,7 @@
 
 import attrs
 
+from ...model.prompt import PromptPart
 from ..targets.load_balancer import LoadBalancer
 from ..targets.load_balancer import TimeBudget
 from ..targets.moving_average import MovingAverage
@@ -70,6 +71,9 @@
         queue_deadline_s: time at which it is refused if it still waits.
         size: its size in tokens.
         is_eligible: returns whether a target may get it, by its name.
+        kind: name of its route, '' if an older peer did not tell it.
+        customer: name of its customer, '' if unknown.
+        parts: parts of its prompt, in order.
     """
 
     id: str
@@ -82,6 +86,9 @@
     queue_deadline_s: float
     size: RequestSize = RequestSize()
     is_eligible: Callable[[str], bool] = lambda _name: True
+    kind: str = ''
+    customer: str = ''
+    parts: tuple[PromptPart, ...] = ()
 
 
 class RequestQueue:
--- a/wigeonfall/policy/targets/load_balancer.py
+++ b/wigeonfall/policy/targets/load_balancer.py
@@ -10,6 +10,7 @@
 which nothing is known gets few requests at first.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 
 import attrs
@@ -284,6 +285,7 @@
         busy: Iterable[TargetEstimate] = (),
         crowded: bool = False,
         short: bool = False,
+        kept_tokens: Callable[[str], float] = lambda _name: 0.0,
     ) -> TargetEstimate | None:
         """Return the open target with the lowest cost.
 
@@ -296,6 +298,8 @@
             crowded: whether many requests wait.
             short: whether it occupies a slot for less time than most. A
                 target that limits its rate is left to longer ones then.
+            kept_tokens: returns how many of its prompt tokens a target holds
+                and need not read again, by the target's name.
 
         Returns:
             The best target, or None if none is open and expected to begin
