Keep requests from targets that say they leave or want a pause

What an answer says now holds beside the entry in the store, by incarnation; peers are told of leaving in the news, whose unknown fields earlier releases ignore. A client refuses a grant of its arbiter that crossed such an answer.

--- a/tests/fakes/forwarding.py
+++ b/tests/fakes/forwarding.py
@@ -45,6 +45,7 @@
     receipt=b'Receipt',
     reserved=frozenset({b'reserved'}),
     rate_limit=b'Rate-Limit',
+    leaving=b'Leaving',
 )
 SAFE = make_route(
     'safe', '/safe/', repeat=Repeat.SAFE, attempts_limit=2, timeout_s=2.0
--- a/tests/forwarding/test_peer_news.py
+++ b/tests/forwarding/test_peer_news.py
@@ -20,6 +20,8 @@
 from wigeonfall.policy.targets import target_rates
 from wigeonfall.policy.targets.target_rates import RateNews
 from wigeonfall.policy.targets.target_rates import TargetRates
+from wigeonfall.policy.targets import target_signals
+from wigeonfall.policy.targets.target_signals import TargetSignals
 
 MAX_DATAGRAM_BYTES = 65_507
 
@@ -34,6 +36,7 @@
         held={'s/bad': (2, 10.25)},
     ),
     rates={'t/1': RateNews(2.5, 0.75, 4), 't/2': RateNews(None, 3.0, 0)},
+    leaving={'t/3': 0.5},
 )
 
 
@@ -70,6 +73,7 @@
         ['lost', 's/bad', 0, 't1'],
         ['held', 's/bad', 1],
         ['rates', 't/1', 1],
+        ['leaving', 't/3'],
     ],
 )
 def test_invalid_ages_raise_value_error(path, value):
@@ -97,11 +101,14 @@
     quarantines.record_lost(['often'], 't2', 0.0)
     rates = TargetRates()
     rates.observe('t1/1', 2.0, 0.0)
+    signals = TargetSignals()
+    signals.mark_leaving('t2/1', 0.0)
     exchange = NewsExchange(
         name='i1',
         incarnation=1,
         part_watch=PartWatch(quarantines, lambda _: 500, ignore),
         rates=rates,
+        signals=signals,
         peers_count=lambda _: False,
         is_hub=lambda _: is_hub,
         record=ignore,
@@ -109,6 +116,7 @@
     news = peer_news.decode(exchange.make_message(0.5))
     assert set(news.parts.lost) == ({'often'} if is_hub else {'once', 'often'})
     assert set(news.rates) == (set() if is_hub else {'t1/1'})
+    assert set(news.leaving) == (set() if is_hub else {'t2/1'})
 
 
 def test_the_longest_news_fits_a_datagram():
@@ -132,7 +140,11 @@
         for _ in range(target_rates.MAX_NEWS_TARGETS)
     }
     parts = PartNews(lost, {part(): 1.0 for _ in range(100)}, {})
-    message = peer_news.encode(PeerNews('i1', 1, parts, rates))
+    leaving = {
+        f'i-{name(10)}/{name(12)}': draw.random()
+        for _ in range(target_signals.MAX_NEWS_TARGETS)
+    }
+    message = peer_news.encode(PeerNews('i1', 1, parts, rates, leaving))
     assert len(message) < MAX_DATAGRAM_BYTES
 
 
--- a/wigeonfall/events.py
+++ b/wigeonfall/events.py
@@ -74,6 +74,7 @@
     TARGET_LIMIT_LOWERED = (522, logging.INFO, 'concurrency limit lowered')
     TARGET_RATE_LIMITED = (523, logging.WARNING, 'target limits request rate')
     TARGET_RATE_UNLIMITED = (524, logging.INFO, 'target lifted rate limit')
+    TARGET_PAUSED = (525, logging.INFO, 'target wants no requests for a time')
 
     ROLLOUT_MOVED = (601, logging.INFO, 'rollout state changed')
     REGRESSION_FOUND = (602, logging.WARNING, 'regression found')
--- a/wigeonfall/forwarding/attempt.py
+++ b/wigeonfall/forwarding/attempt.py
@@ -11,6 +11,7 @@
 from . import exchange as exchange_module
 from ..model.target import Target
 from ..policy.targets import target_rates
+from ..policy.targets import target_signals
 from .exchange import Exchange
 from .exchange import ExchangeError
 from .header_names import HeaderNames
@@ -172,6 +173,7 @@
         )
     names = context.names
     _record_rate_limit(context, sent.slot.target, head)
+    _record_signals(context, sent.slot.target, head)
     if head.header(names.not_run.lower()) or head.status == MISDIRECTED:
         return AttemptResult(
             AttemptOutcome.NOT_RUN, head.status, 'refused by the target'
@@ -201,6 +203,23 @@
         )
 
 
+def _record_signals(
+    context: AttemptContext, target: Target, head: ResponseHead
+) -> None:
+    """Record what an answer says of its target's leaving or of a pause."""
+    names = context.names
+    if target_signals.says_leaving(head.values(names.leaving.lower())):
+        context.observations.record_leaving(target.name, time.monotonic())
+    if head.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+        pause_s = target_signals.parse_pause_s(
+            head.values(names.pause.lower())
+        )
+        if pause_s:
+            context.observations.record_requested_pause(
+                target.name, pause_s, time.monotonic()
+            )
+
+
 def _is_valid(head: ResponseHead, names: HeaderNames) -> bool:
     if head.header(names.body_encoding.lower()):
         return False
--- a/wigeonfall/forwarding/header_names.py
+++ b/wigeonfall/forwarding/header_names.py
@@ -18,6 +18,9 @@
         not_run: in an answer, set if the target did not run the request.
         receipt: in an answer, proof that it comes from the target.
         reserved: headers that only instances may set, in lower case.
+        leaving: in an answer, set to 1 if the target leaves.
+        pause: in a refusal of a target, for how many seconds it wants no
+            requests.
         body_encoding: in an answer, set if an intermediary encoded the body.
         rate_limit: in an answer, requests a second that the target accepts.
         last_event_id: in a resumed request, the last event the caller got.
@@ -34,5 +37,7 @@
     receipt: bytes
     reserved: frozenset[bytes]
     rate_limit: bytes
+    leaving: bytes
+    pause: bytes = b'Retry-After'
     body_encoding: bytes = b'Content-Encoding'
     last_event_id: bytes = b'Last-Event-Id'
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -17,6 +17,7 @@
 from ..policy.room import resend_budget
 from ..policy.room import token_quota
 from ..policy.targets.load_balancer import LoadBalancer
+from ..policy.targets.load_balancer import target_key
 from ..policy.targets.quarantine import Quarantines
 from ..policy.versions.version_trial import Trials
 from ..recorder import Record
@@ -257,6 +258,9 @@
         rates = self._balancer.rates
         rates.keep_peers(self._peers.known_names(now_s))
         rates.set_share(self._topology.limit_share(now_s))
+        self._balancer.signals.keep(
+            (target_key(s.target) for s in self._balancer.all_stats()), now_s
+        )
 
     def _record_peer_changes(self, now_s: float) -> None:
         live = self._peers.live_names(now_s)
@@ -290,7 +294,10 @@
                 parts=self._part_watch,
             ),
             slots=self._slot_client,
-            allows=self._rollouts.allows,
+            allows=lambda request, name: (
+                self._rollouts.allows(request, name)
+                and self._balancer.allows(name, time.monotonic())
+            ),
             allow_resend=allow_resend,
             count_request=count_request,
             stop=self._stop_deadline,
@@ -303,6 +310,7 @@
             incarnation=self._states.incarnation,
             part_watch=self._part_watch,
             rates=self._balancer.rates,
+            signals=self._balancer.signals,
             peers_count=lambda now_s: not self._topology.uses_hubs(now_s),
             is_hub=self._topology.passes_counts_on,
             record=self.record,
--- a/wigeonfall/forwarding/observations.py
+++ b/wigeonfall/forwarding/observations.py
@@ -84,6 +84,20 @@
         if self._balancer.record_rate_limit(name, per_s, now_s):
             record_rate_limit(self._record, name, per_s)
 
+    def record_leaving(self, name: str, now_s: float) -> None:
+        """Record an answer whose target says that it leaves."""
+        if self._balancer.record_leaving(name, now_s):
+            self._record(Event.TARGET_LEAVING, target=name, told_by='answer')
+
+    def record_requested_pause(
+        self, name: str, pause_s: float, now_s: float
+    ) -> None:
+        """Record that a target wants no requests of this instance for now."""
+        if self._balancer.record_requested_pause(name, pause_s, now_s):
+            self._record(
+                Event.TARGET_PAUSED, target=name, pause_s=round(pause_s, 3)
+            )
+
     def record_broken_connection(self, name: str, now_s: float) -> None:
         """Record a connection that broke or was refused."""
         pause_s = self._balancer.record_broken_connection(name, now_s)
--- a/wigeonfall/forwarding/peer_news.py
+++ b/wigeonfall/forwarding/peer_news.py
@@ -15,11 +15,13 @@
 from result import Err
 
 from .. import decoding
+from ..events import Event
 from . import message_fields
 from ..policy.targets.quarantine import PartNews
 from ..policy.targets.quarantine import Suspect
 from ..policy.targets.target_rates import RateNews
 from ..policy.targets.target_rates import TargetRates
+from ..policy.targets.target_signals import TargetSignals
 from ..recorder import Record
 from .observations import record_rate_limit
 from .part_watch import PartWatch
@@ -42,12 +44,14 @@
         incarnation: random number, chosen at each start of the instance.
         parts: suspected and quarantined prompt parts.
         rates: limits that targets named, by target.
+        leaving: targets that said that they leave, with the age of that.
     """
 
     name: str
     incarnation: int
     parts: PartNews = PartNews()
     rates: Mapping[str, RateNews] = attrs.field(factory=dict)
+    leaving: Mapping[str, float] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -59,6 +63,7 @@
         incarnation: random number, chosen at each start of the instance.
         part_watch: suspected and quarantined prompt parts.
         rates: rates that targets accept.
+        signals: what targets say of their leaving.
         peers_count: returns whether peers count the requests that this
             instance sends; with hubs, the arbiter counts those of all.
         is_hub: returns whether this instance tells all others, who need no
@@ -70,6 +75,7 @@
     incarnation: int
     part_watch: PartWatch
     rates: TargetRates
+    signals: TargetSignals
     peers_count: Callable[[float], bool]
     is_hub: Callable[[float], bool]
     record: Record
@@ -81,10 +87,17 @@
         rates = self.rates.news(self.peers_count(now_s), now_s)
         if is_hub:
             rates = {}
-        if parts is None and not rates:
+        leaving = {} if is_hub else self.signals.news(now_s)
+        if parts is None and not rates and not leaving:
             return None
         return encode(
-            PeerNews(self.name, self.incarnation, parts or PartNews(), rates)
+            PeerNews(
+                self.name,
+                self.incarnation,
+                parts or PartNews(),
+                rates,
+                leaving,
+            )
         )
 
     def receive(self, data: bytes) -> None:
@@ -105,6 +118,12 @@
             record_rate_limit(
                 self.record, key.rpartition('/')[0], news.rates[key].per_s
             )
+        for key in self.signals.merge(news.leaving, now_s):
+            self.record(
+                Event.TARGET_LEAVING,
+                target=key.rpartition('/')[0],
+                told_by=news.name,
+            )
 
 
 def encode(news: PeerNews) -> bytes:
@@ -131,6 +150,9 @@
             target: [rate.per_s, round(rate.age_s, 2), rate.sent]
             for target, rate in news.rates.items()
         },
+        'leaving': {
+            target: round(age_s, 2) for target, age_s in news.leaving.items()
+        },
     }
     text = json.dumps(fields, separators=(',', ':'))
     return PREFIX + zlib.compress(text.encode(), _COMPRESSION_LEVEL)
@@ -164,6 +186,11 @@
             )
             for target, (per_s, age_s, sent) in fields['rates'].items()
         },
+        # Earlier versions do not tell it.
+        leaving={
+            target: _not_negative(age_s)
+            for target, age_s in fields.get('leaving', {}).items()
+        },
     )
 
 
--- a/wigeonfall/forwarding/slot_client.py
+++ b/wigeonfall/forwarding/slot_client.py
@@ -300,9 +300,10 @@
         pending = waiting.pending
         balancer = self._context.scheduler.balancer
         known = balancer.stats_of((grant.target,))
-        if not known:
-            # The target list here is older than the arbiter's. A new
-            # identifier makes the arbiter release the slot.
+        if not known or not pending.is_eligible(grant.target):
+            # The target list here is older than the arbiter's, or the target
+            # has said that it wants no requests. A new identifier makes the
+            # arbiter release the slot.
             del self._waiting[pending.id]
             waiting.pending = attrs.evolve(pending, id=f'{pending.id}+')
             waiting.ineligible.add(grant.target)
--- a/wigeonfall/forwarding/target_connection.py
+++ b/wigeonfall/forwarding/target_connection.py
@@ -43,6 +43,10 @@
         """Return the value of the first header of a name, or b''."""
         return next((v for n, v in self.headers if n == name), b'')
 
+    def values(self, name: bytes) -> tuple[bytes, ...]:
+        """Return the values of all headers of a name."""
+        return tuple(v for n, v in self.headers if n == name)
+
     @property
     def is_event_stream(self) -> bool:
         """Whether the body is a stream of server-sent events."""
--- a/wigeonfall/policy/targets/load_balancer.py
+++ b/wigeonfall/policy/targets/load_balancer.py
@@ -18,6 +18,7 @@
 from ...model.target import Target
 from .moving_average import PeerAverage
 from .target_rates import TargetRates
+from .target_signals import TargetSignals
 from .target_stats import DEFAULT_SLOTS
 from .target_stats import FIXED_COST_TOKENS
 from .target_stats import PeerLoad
@@ -65,10 +66,12 @@
 
     Attributes:
         rates: request rates that targets accept.
+        signals: what targets say of their leaving and of pauses.
     """
 
     def __init__(self, data_center: str) -> None:
         self.rates = TargetRates()
+        self.signals = TargetSignals()
         self._data_center = data_center
         self._stats: dict[str, TargetStats] = {}
         self._estimates: dict[str, TargetEstimate] = {}
@@ -93,6 +96,7 @@
                 own_requests = known.own_requests if known else 0
                 known = TargetStats(target, _slots(target), own_requests)
                 self._stats[name] = known
+                self._apply_pause(known)
             known.target = target
 
     def set_peer_loads(self, loads: Iterable[PeerLoad]) -> None:
@@ -135,7 +139,7 @@
         """Count a request that is sent to a target."""
         stats = self._changed(name)
         if stats is not None:
-            self.rates.count_sent(_rate_key(stats.target))
+            self.rates.count_sent(target_key(stats.target))
             stats.own_requests += 1
             stats.own_prefill_tokens += size.prompt_tokens
 
@@ -238,12 +242,42 @@
         stats = self._stats.get(name)
         if stats is None:
             return False
-        key = _rate_key(stats.target)
+        key = target_key(stats.target)
         if per_s is None and self.rates.limit_of(key) is None:
             return False
         self._changed(name)
         return self.rates.observe(key, per_s, now_s)
 
+    def record_leaving(self, name: str, now_s: float) -> bool:
+        """Record that a target leaves; return whether that is new."""
+        stats = self._changed(name)
+        if stats is None:
+            return False
+        return self.signals.mark_leaving(target_key(stats.target), now_s)
+
+    def record_requested_pause(
+        self, name: str, pause_s: float, now_s: float
+    ) -> bool:
+        """Send a target nothing for a time, and then one request at first.
+
+        Returns:
+            Whether it was not in a pause before.
+        """
+        stats = self._changed(name)
+        if stats is None:
+            return False
+        key = target_key(stats.target)
+        is_new = self.signals.pause(key, pause_s, now_s)
+        self._apply_pause(stats)
+        return is_new
+
+    def allows(self, name: str, now_s: float) -> bool:
+        """Return whether a target wants requests, by its own answers."""
+        stats = self._stats.get(name)
+        return stats is None or self.signals.allows(
+            target_key(stats.target), now_s
+        )
+
     def record_failure(self, name: str) -> None:
         """Count a failed request in the failure rate of a target."""
         stats = self._changed(name)
@@ -269,7 +303,10 @@
                 stats = self._stats.get(name)
                 if stats is None:
                     continue
-                rate = self.rates.limit_of(_rate_key(stats.target))
+                key = target_key(stats.target)
+                if self.signals.is_leaving(key):
+                    continue
+                rate = self.rates.limit_of(key)
                 estimate = stats.estimate(now_s, rate)
                 if rate is None:
                     kept[name] = estimate
@@ -336,6 +373,12 @@
             default=None,
         )
 
+    def _apply_pause(self, stats: TargetStats) -> None:
+        until_s = self.signals.paused_until_s.get(target_key(stats.target))
+        if until_s is not None:
+            stats.backoff_until_s = max(stats.backoff_until_s, until_s)
+            stats.connection_failures = max(1, stats.connection_failures)
+
     def _changed(self, name: str) -> TargetStats | None:
         """Return the statistics of a target that are about to change."""
         self._estimates.pop(name, None)
@@ -368,7 +411,7 @@
     return estimate.first_s(size) + answer_s <= budget.time_left_s
 
 
-def _rate_key(target: Target) -> str:
+def target_key(target: Target) -> str:
     """Return a key that distinguishes the starts of a target."""
     return f'{target.name}/{target.incarnation}'
 
