Send nothing new to the targets of an evacuated data centre

Cause: entries of the kind evacuations were not read, so that requests went on to the targets of a data centre that its operator empties.

Change: where the settings give a time to stop in, the kind is watched and passed on like all others. Targets of an evacuated data centre leave the lists for placing; a slot that was granted without that knowledge is given back before the send.

--- a/tests/fakes/forwarding.py
+++ b/tests/fakes/forwarding.py
@@ -189,8 +189,17 @@
 class Harness:
     """One instance, its targets and its store."""
 
-    def __init__(self, *scripts: Script, table=None, versions=()):
+    def __init__(
+        self,
+        *scripts: Script,
+        table=None,
+        versions=(),
+        data_centers=(),
+        settings=None,
+    ):
         self.versions = versions
+        self.data_centers = data_centers
+        self.settings = settings or make_settings()
         self.targets = [
             ScriptedTarget(f't{n}', script) for n, script in enumerate(scripts)
         ]
@@ -205,9 +214,7 @@
         self.store.put('table', 'main', {'table': self.table})
         for target in self.targets:
             self.store.put('targets', target.name, self._entry(target))
-        self.instance = Instance(
-            make_settings(), self._adapter(), self._record
-        )
+        self.instance = Instance(self.settings, self._adapter(), self._record)
         self.port = ServerContext(
             handle=self.instance.handle,
             limits=self.instance.limits,
@@ -245,7 +252,10 @@
     def _entry(self, target):
         number = self.targets.index(target)
         version = self.versions[number] if self.versions else ''
-        entry = Target(target.name, 's', 'dc', target.address, version=version)
+        place = self.data_centers[number] if self.data_centers else 'dc'
+        entry = Target(
+            target.name, 's', place, target.address, version=version
+        )
         return {'target': entry}
 
     def _adapter(self):
@@ -265,6 +275,7 @@
                 entry.value['table'].version if 'table' in entry.value else 0
             ),
             ready_path=b'/ready',
+            evacuations_kind='evacuations',
         )
 
     def leave(self, target, state=TargetState.LEAVING):
--- a/wigeonfall/events.py
+++ b/wigeonfall/events.py
@@ -74,6 +74,9 @@
     TARGET_LIMIT_LOWERED = (522, logging.INFO, 'concurrency limit lowered')
     TARGET_RATE_LIMITED = (523, logging.WARNING, 'target limits request rate')
     TARGET_RATE_UNLIMITED = (524, logging.INFO, 'target lifted rate limit')
+    EVACUATION_BEGUN = (532, logging.WARNING, 'data centre evacuated')
+    EVACUATION_LIFTED = (533, logging.INFO, 'data centre taken back')
+    EVACUATION_DRAINED = (534, logging.INFO, 'evacuated data centre is empty')
 
     ROLLOUT_MOVED = (601, logging.INFO, 'rollout state changed')
     REGRESSION_FOUND = (602, logging.WARNING, 'regression found')
--- a/wigeonfall/forwarding/call_handler.py
+++ b/wigeonfall/forwarding/call_handler.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from . import attempt as attempt_module
+from ..model.target import Target
 from ..policy.room import patience
 from ..policy.room.token_quota import Charge
 from ..policy.room.token_quota import OverLimit
@@ -52,6 +53,7 @@
         attempts: what attempts need.
         slots: acquires slots and charges customers' quotas.
         allows: returns whether a target may get a request, by its name.
+        may_send_to: returns whether requests may be sent to a target now.
         allow_resend: returns whether the resend budget of a service allows
             another attempt.
         count_request: counts a request of a service for its resend budget.
@@ -65,6 +67,7 @@
     attempts: AttemptContext
     slots: SlotClient
     allows: Callable[[RoutedRequest, str], bool]
+    may_send_to: Callable[[Target], bool]
     allow_resend: Callable[[str, float], bool]
     count_request: Callable[[str, float], None]
     stop: StopDeadline
@@ -155,6 +158,10 @@
                 self._context.slots.release(request.service, slot)
                 self._final.held(request, reply, progress, relay, hold)
                 return
+            if not self._context.may_send_to(slot.target):
+                self._context.slots.release(request.service, slot)
+                progress.excluded.add(slot.target.name)
+                continue
             progress.target = slot.target.name
             progress.attempts += 1
             self._outcomes.record_slot(request, slot, self._table_version())
--- a/wigeonfall/forwarding/cluster_state.py
+++ b/wigeonfall/forwarding/cluster_state.py
@@ -12,6 +12,7 @@
 from .. import decoding
 from ..events import Event
 from ..model.target import Target
+from ..policy.orders.evacuations import Evacuations
 from ..policy.orders.restored_orders import RestoredOrders
 from ..policy import routing
 from ..policy.targets.load_balancer import LoadBalancer
@@ -19,9 +20,12 @@
 from ..policy.versions.version_trial import Trials
 from ..ports.platform import StoredObject
 from ..recorder import Record
+from .evacuation_log import EvacuationLog
 from .platform_adapter import PlatformAdapter
 from .store_view import StoreView
 
+EVACUATIONS_WAIT_S = 2.0  # longer than for the other kinds
+
 _Value = TypeVar('_Value')
 
 
@@ -41,6 +45,7 @@
         balancer: load balancer, gets the usable targets.
         trials: trials of new versions, get the orders.
         record: records events.
+        evacuates: whether operators evacuate data centres.
 
     Attributes:
         view: the encoded objects of the store.
@@ -54,12 +59,15 @@
         balancer: LoadBalancer,
         trials: Trials,
         record: Record,
+        evacuates: bool = False,
     ) -> None:
-        kinds = (
+        kinds: tuple[str, ...] = (
             adapter.table_kind,
             adapter.targets_kind,
             adapter.orders_kind,
         )
+        if evacuates and adapter.evacuations_kind:
+            kinds += (adapter.evacuations_kind,)
         self.view = StoreView(
             kinds, self._on_change, adapter.writer_version, record
         )
@@ -71,6 +79,9 @@
         self._record = record
         self._targets = TargetView()
         self._orders = RestoredOrders()
+        self._evacuations = Evacuations()
+        self._evacuation_log = EvacuationLog(record)
+        self._ready_by_s: float | None = None
         self._listed_targets: frozenset[Target] = frozenset()
         self._decoded: dict[str, dict[str, _Decoded]] = {}
         self._reachable = {kind: True for kind in kinds}
@@ -81,11 +92,32 @@
         return all(self._reachable.values())
 
     def ready(self) -> bool:
-        """Whether the routing table and the list of targets are loaded."""
-        return self.routing_index is not None and self.view.is_loaded(
+        """Whether the table, targets and evacuations are loaded.
+
+        Peers of earlier releases have no evacuations to tell when the store
+        is away, so these are waited for a while only.
+        """
+        if self.routing_index is None or not self.view.is_loaded(
             self._adapter.targets_kind
+        ):
+            return False
+        now_s = time.monotonic()
+        if self._ready_by_s is None:
+            self._ready_by_s = now_s + EVACUATIONS_WAIT_S
+        kind = self._adapter.evacuations_kind
+        return (
+            kind not in self.view.kinds()
+            or self.view.is_loaded(kind)
+            or now_s >= self._ready_by_s
         )
 
+    def may_send_to(self, target: Target) -> bool:
+        """Return whether new requests may be sent to a target's data centre.
+
+        The decision on a place may be older than an evacuation.
+        """
+        return target.data_center not in self._evacuation_log.evacuated
+
     def set_store_reachable(self, kind: str, reachable: bool) -> None:
         """Set whether the store answers the watch of a kind."""
         self._reachable[kind] = reachable
@@ -98,7 +130,8 @@
 
     def _refresh_targets(self, now_s: float) -> None:
         """Update the load balancer with the targets that are usable now."""
-        usable = self._targets.usable(now_s)
+        known = self._targets.usable(now_s)
+        usable = [target for target in known if self.may_send_to(target)]
         names: dict[str, list[str]] = {}
         for target in usable:
             names.setdefault(target.service, []).append(target.name)
@@ -117,7 +150,8 @@
         self.target_names = {
             service: tuple(group) for service, group in names.items()
         }
-        self._balancer.set_targets(usable)
+        # What was learned of the targets of an evacuated data centre is kept.
+        self._balancer.set_targets(known)
 
     def refresh(self, now_s: float) -> None:
         """Apply what has changed by the passage of time.
@@ -125,10 +159,16 @@
         Args:
             now_s: present time on the monotonic clock.
         """
-        self._refresh_targets(now_s)
+        self._refresh_evacuations(now_s)
+        self._evacuation_log.record_drained(self._balancer.all_stats(), now_s)
         if self._orders.has_expired(now_s):
             self._trials.set_orders(self._orders.in_force(now_s), now_s)
 
+    def _refresh_evacuations(self, now_s: float) -> None:
+        """Apply the evacuations that are in force now."""
+        self._evacuation_log.update(self._evacuations.in_force(now_s), now_s)
+        self._refresh_targets(now_s)
+
     def _targets_revision(self) -> int:
         return self.view.positions()[self._adapter.targets_kind].revision
 
@@ -147,6 +187,10 @@
                 frozenset(targets),
             )
             return previous != self._listed_targets
+        elif kind == adapter.evacuations_kind:
+            names = self._decode_all(kind, adapter.decode_evacuation)
+            self._evacuations.update(names, now_s, self.view.era(kind))
+            self._refresh_evacuations(now_s)
         else:
             orders = self._decode_all(kind, adapter.decode_order)
             era = self.view.era(kind)
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -70,7 +70,11 @@
         self._balancer = LoadBalancer(settings.instance.data_center)
         trials = Trials()
         self._cluster_state = ClusterState(
-            adapter, self._balancer, trials, record
+            adapter,
+            self._balancer,
+            trials,
+            record,
+            evacuates=settings.evacuation.stop_ms > 0,
         )
         self._started_s = time.monotonic()
         self._quotas = token_quota.TokenQuotas(
@@ -291,6 +295,7 @@
             ),
             slots=self._slot_client,
             allows=self._rollouts.allows,
+            may_send_to=self._cluster_state.may_send_to,
             allow_resend=allow_resend,
             count_request=count_request,
             stop=self._stop_deadline,
--- a/wigeonfall/forwarding/platform_adapter.py
+++ b/wigeonfall/forwarding/platform_adapter.py
@@ -33,6 +33,10 @@
         writer_version: returns the version of an object by its writer's
             count, 0 if the writer counts none.
         ready_path: path of the health check of the external load balancer.
+        evacuations_kind: kind of the entries of evacuated data centres, ''
+            for none.
+        decode_evacuation: returns the data centre of such an entry; raises
+            ValueError.
     """
 
     make_store: Callable[[str], ObjectStore]
@@ -48,3 +52,5 @@
     instances_kind: str
     writer_version: Callable[[StoredObject], int]
     ready_path: bytes
+    evacuations_kind: str = ''
+    decode_evacuation: Callable[[StoredObject], str] = lambda entry: entry.name
--- a/wigeonfall/forwarding/settings.py
+++ b/wigeonfall/forwarding/settings.py
@@ -106,6 +106,18 @@
     slack_tokens: float = 0.0
 
 
+@attrs.frozen
+class EvacuationSettings:
+    """Whether operators evacuate data centres.
+
+    Attributes:
+        stop_ms: time in which new requests to the targets of an evacuated
+            data centre stop; 0 if none is evacuated.
+    """
+
+    stop_ms: float = 0.0
+
+
 @attrs.frozen
 class ForwardingSettings:
     """The settings of one process."""
@@ -119,6 +131,7 @@
     machine: MachineSettings
     log: LogSettings
     quota: QuotaSettings = QuotaSettings()
+    evacuation: EvacuationSettings = EvacuationSettings()
 
     @property
     def seed_addresses(self) -> tuple[str, ...]:
@@ -147,6 +160,7 @@
     'window_s': ini.in_range(0.1, 86_400),
     'overage': ini.in_range(0, 100),
     'slack_tokens': ini.in_range(0, 1_000_000_000),
+    'stop_ms': ini.in_range(0, 86_400_000),
     'level': settings.check_level,
 }
 
--- a/wigeonfall/metrics.py
+++ b/wigeonfall/metrics.py
@@ -51,6 +51,11 @@
             ['target'],
             registry=registry,
         )
+        self.evacuated_data_centres = prometheus_client.Gauge(
+            'wigeonfall_evacuated_data_centres',
+            'Data centres whose targets get no new requests.',
+            registry=registry,
+        )
         self.answer_seconds = prometheus_client.Histogram(
             'wigeonfall_answer_seconds',
             'Time from the call to the end of its answer.',
@@ -119,6 +124,8 @@
         elif event is Event.TARGET_RATE_UNLIMITED:
             target = metrics.label('target', fields['target'])
             metrics.target_rate_limit.labels(target).set(math.inf)
+        elif event in (Event.EVACUATION_BEGUN, Event.EVACUATION_LIFTED):
+            metrics.evacuated_data_centres.set(fields['evacuated'])
 
     return record_and_count
 
