--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -71,7 +71,11 @@
         self._balancer = LoadBalancer(settings.instance.data_center)
         trials = Trials()
         self._cluster_state = ClusterState(
-            adapter, self._balancer, trials, record
+            adapter,
+            self._balancer,
+            trials,
+            record,
+            evacuates=settings.evacuation.stop_ms > 0,
         )
         self._started_s = time.monotonic()
         self._quotas = token_quota.TokenQuotas(
@@ -298,6 +302,7 @@
                 self._rollouts.allows(request, name)
                 and self._balancer.allows(name, time.monotonic())
             ),
+            may_send_to=self._cluster_state.may_send_to,
             allow_resend=allow_resend,
             count_request=count_request,
             stop=self._stop_deadline,
