Weigh what targets still hold of a prompt against the wait there

Whoever places requests now estimates what each target holds from what was sent there, within the memory that its service declares. Expected times count only what is left to read, and of targets that are as good within 2 % of the time left until the goal, one that holds the most is taken. Grants tell how much was expected, so that learned times stay true.

--- a/tests/forwarding/test_arbiter_formats.py
+++ b/tests/forwarding/test_arbiter_formats.py
@@ -3,7 +3,9 @@
 import json
 
 from wigeonfall.forwarding import arbiter_messages
+from wigeonfall.forwarding.arbiter_messages import ArbiterDecisions
 from wigeonfall.forwarding.arbiter_messages import ClientState
+from wigeonfall.forwarding.arbiter_messages import Grant
 from wigeonfall.forwarding.arbiter_messages import SlotRequest
 from wigeonfall.model.prompt import PromptPart
 
@@ -52,3 +54,12 @@
     values[5][0].append('of a later release')
     data = json.dumps(values).encode()
     assert arbiter_messages.decode(data) == _state()
+
+
+def test_grant_tells_kept_tokens_only_to_peers_that_know_them():
+    decisions = ArbiterDecisions('hub', 7, (Grant('r/1', 'a', 9, 1, 60),), ())
+    newest = arbiter_messages.encode(decisions)
+    assert arbiter_messages.decode(newest) == decisions
+    first = arbiter_messages.encode(decisions, arbiter_messages.FIRST_FORMAT)
+    assert len(json.loads(first)[3][0]) == 4
+    assert arbiter_messages.decode(first).grants[0].kept_tokens == 0.0
--- a/tests/users_platform/test_manifest.py
+++ b/tests/users_platform/test_manifest.py
@@ -75,6 +75,24 @@
     return StoredObject('servers', 'e1', 7, value, status or None)
 
 
+@pytest.mark.parametrize(
+    ('engine', 'expected'),
+    [
+        ({'KvTokens': 600_000, 'Slots': 8}, {'pool': 600_000.0}),
+        ({'KvTokens': '600000'}, {}),
+        ({'KvTokens': -1}, {}),
+        ({'Slots': 8}, {}),
+        ('none', {}),
+    ],
+)
+def test_memory_of_engines_is_known_where_a_service_declares_it(
+    engine, expected
+):
+    value = copy.deepcopy(MANIFEST)
+    value['Services'][0]['Engine'] = engine
+    assert manifest.decode(value).memory_tokens == expected
+
+
 def test_a_manifest_is_decoded_to_a_routing_table():
     table = manifest.decode(MANIFEST)
     stream, once = table.routes
--- a/wigeonfall/forwarding/arbiter.py
+++ b/wigeonfall/forwarding/arbiter.py
@@ -299,6 +299,7 @@
         slot.target.name,
         round(slot.prefill_tokens),
         slot.outstanding,
+        round(slot.kept_tokens),
     )
 
 
--- a/wigeonfall/forwarding/arbiter_messages.py
+++ b/wigeonfall/forwarding/arbiter_messages.py
@@ -23,7 +23,8 @@
 PLAIN_PREFIX = b'['
 COMPRESSED_PREFIX = b'~'
 # Formats that an instance reads, as it tells peers. In the first one, a slot
-# request ends before its kind; releases that know no other read nothing else.
+# request ends before its kind and a grant before its kept tokens; releases
+# that know no other read nothing else.
 FIRST_FORMAT = 1
 NEWEST_FORMAT = 2
 COMPRESS_ABOVE_BYTES = 4000  # keeps long messages below the datagram limit
@@ -163,12 +164,14 @@
         prefill_tokens: prompt tokens that the target has yet to process,
             those of this request included.
         outstanding: requests of all instances there, this one included.
+        kept_tokens: tokens of the prompt that the target is believed to hold.
     """
 
     id: str
     target: str
     prefill_tokens: float
     outstanding: int
+    kept_tokens: float = 0.0
 
 
 @attrs.frozen
@@ -222,7 +225,8 @@
 )
 _held_fields = _fields_of(HeldSlot)
 _report_fields = _fields_of(Report)
-_grant_fields = _fields_of(Grant)
+_all_grant_fields = _fields_of(Grant)
+_GRANT_FIELDS = len(attrs.fields(Grant))
 _denial_fields = _fields_of(Denial)
 
 
@@ -233,6 +237,11 @@
     return [*values, [(part.id, part.tokens) for part in parts]]
 
 
+def _grant_fields(grant: Grant, message_format: int) -> tuple[Any, ...]:
+    fields = _all_grant_fields(grant)
+    return fields[:-1] if message_format < NEWEST_FORMAT else fields
+
+
 def _values(
     message: ClientState | ArbiterDecisions, message_format: int
 ) -> list[Any]:
@@ -255,7 +264,7 @@
         'answering',
         message.name,
         message.incarnation,
-        [_grant_fields(grant) for grant in message.grants],
+        [_grant_fields(grant, message_format) for grant in message.grants],
         [_denial_fields(denial) for denial in message.denials],
     ]
 
@@ -327,6 +336,6 @@
     return ArbiterDecisions(
         name,
         incarnation,
-        tuple(Grant(*grant) for grant in grants),
+        tuple(Grant(*grant[:_GRANT_FIELDS]) for grant in grants),
         tuple(Denial(*denial) for denial in denials),
     )
--- a/wigeonfall/forwarding/cluster_state.py
+++ b/wigeonfall/forwarding/cluster_state.py
@@ -80,6 +80,11 @@
         """Whether the store answers the watches of all kinds."""
         return all(self._reachable.values())
 
+    def memory_tokens(self, service: str) -> float | None:
+        """Return how many tokens a target of a service holds, if known."""
+        index = self.routing_index
+        return index.table.memory_tokens.get(service) if index else None
+
     def ready(self) -> bool:
         """Whether the routing table and the list of targets are loaded."""
         return self.routing_index is not None and self.view.is_loaded(
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -16,6 +16,7 @@
 from ..model.target import Target
 from ..policy.room import resend_budget
 from ..policy.room import token_quota
+from ..policy.targets.kept_parts import KeptParts
 from ..policy.targets.load_balancer import LoadBalancer
 from ..policy.targets.quarantine import Quarantines
 from ..policy.versions.version_trial import Trials
@@ -93,6 +94,7 @@
             lambda service: self._cluster_state.target_names.get(service, ()),
             lambda: self._peers.loads(time.monotonic()),
             self._on_load_change,
+            KeptParts(self._cluster_state.memory_tokens),
         )
         self._rollouts = Rollouts(
             trials=trials,
@@ -254,6 +256,9 @@
         self._quotas.keep_peers(self._peers.known_names(now_s))
         self._cluster_state.refresh(now_s)
         self._balancer.set_peer_loads(self._peers.loads(now_s))
+        self._scheduler.keep_targets(
+            stats.target.name for stats in self._balancer.all_stats()
+        )
         rates = self._balancer.rates
         rates.keep_peers(self._peers.known_names(now_s))
         rates.set_share(self._topology.limit_share(now_s))
--- a/wigeonfall/forwarding/outcomes.py
+++ b/wigeonfall/forwarding/outcomes.py
@@ -72,6 +72,8 @@
             waited_ms=round(slot.waited_s * 1000),
             outstanding=slot.outstanding,
             reading_tokens=round(slot.prefill_tokens),
+            prompt_tokens=round(request.size.prompt_tokens),
+            kept_tokens=round(slot.kept_tokens),
             peers=slot.peers,
             arbiter=slot.arbiter,
             table_version=table_version,
--- a/wigeonfall/forwarding/scheduler.py
+++ b/wigeonfall/forwarding/scheduler.py
@@ -11,6 +11,7 @@
 from ..model.target import Target
 from ..policy.room.waiting import PendingRequest
 from ..policy.room.waiting import RequestQueue
+from ..policy.targets.kept_parts import KeptParts
 from ..policy.targets.load_balancer import LoadBalancer
 from ..policy.targets.target_stats import PeerLoad
 from ..policy.targets.target_stats import RequestSize
@@ -34,10 +35,11 @@
             those of this request included.
         outstanding: requests of all instances there, this one included.
         peers: number of peers whose load there is known.
-        size: size of the request.
+        size: size of the request, without the tokens that the target holds.
         prefilling: whether the target may still be processing the prompt.
         arbiter: name of the arbiter that granted it, '' for the local
             scheduler.
+        kept_tokens: tokens of the prompt that the target is believed to hold.
     """
 
     id: str
@@ -49,6 +51,7 @@
     size: RequestSize
     prefilling: bool = True
     arbiter: str = ''
+    kept_tokens: float = 0.0
 
 
 @attrs.frozen
@@ -74,6 +77,7 @@
         targets_of: returns the names of the targets that serve a service.
         peers: returns the outstanding and waiting requests of peers.
         on_load_change: called when the load of this instance changes.
+        kept: parts of prompts that targets hold.
     """
 
     def __init__(
@@ -82,8 +86,10 @@
         targets_of: Callable[[str], tuple[str, ...]],
         peers: Callable[[], Iterable[PeerLoad]],
         on_load_change: Callable[[], None],
+        kept: KeptParts | None = None,
     ) -> None:
         self.balancer = balancer
+        self._kept = kept or KeptParts()
         self._targets_of = targets_of
         self._peers = peers
         self._on_load_change = on_load_change
@@ -128,7 +134,9 @@
             A future of a slot, which must be released, or of the refusal. If
             it is cancelled, the request must be withdrawn.
         """
-        queue = self._queues.setdefault(service, RequestQueue(self.balancer))
+        queue = self._queues.setdefault(
+            service, RequestQueue(self.balancer, kept=self._kept)
+        )
         future = asyncio.get_running_loop().create_future()
         self._futures[pending.id] = future
         future.add_done_callback(lambda _: self._futures.pop(pending.id, None))
@@ -174,6 +182,7 @@
         """Release a slot."""
         self.mark_prompt_read(slot)
         self.balancer.request_ended(slot.target.name)
+        self._kept.ended(slot.target.name, slot.size)
         queue = self._queues.get(service)
         if queue is not None and len(queue):
             queue.slot_freed()
@@ -201,12 +210,14 @@
                 stats.prefill_tokens(),
                 stats.outstanding,
                 len(stats.peers),
-                pending.size,
+                pending.size.without(pending.kept_tokens),
+                kept_tokens=pending.kept_tokens,
             )
             future = self._futures.get(pending.id)
             if future is None or future.done():
                 self.mark_prompt_read(slot)
                 self.balancer.request_ended(stats.target.name)
+                self._kept.ended(stats.target.name, slot.size)
             else:
                 future.set_result(slot)
         for pending in queue.pop_expired(now_s):
@@ -216,6 +227,10 @@
         if dispatched:
             self._on_load_change()
 
+    def keep_targets(self, names: Iterable[str]) -> None:
+        """Forget what all targets but the named ones hold."""
+        self._kept.keep_targets(names)
+
     def dispatch_all(self) -> None:
         """Dispatch the queues of all services."""
         for service in tuple(self._queues):
--- a/wigeonfall/forwarding/slot_client.py
+++ b/wigeonfall/forwarding/slot_client.py
@@ -309,7 +309,8 @@
             self._waiting[waiting.pending.id] = waiting
             self._send_soon()
             return
-        balancer.request_sent(grant.target, pending.size)
+        size = pending.size.without(grant.kept_tokens)
+        balancer.request_sent(grant.target, size)
         slot = Slot(
             pending.id,
             known[0].target,
@@ -317,8 +318,9 @@
             grant.prefill_tokens,
             grant.outstanding,
             0,
-            pending.size,
+            size,
             arbiter=self.arbiter,
+            kept_tokens=grant.kept_tokens,
         )
         self._held[slot.id] = (waiting.service, slot)
         waiting.future.set_result(slot)
--- a/wigeonfall/metrics.py
+++ b/wigeonfall/metrics.py
@@ -51,6 +51,13 @@
             ['target'],
             registry=registry,
         )
+        self.prompt_tokens = prometheus_client.Counter(
+            'wigeonfall_prompt_tokens',
+            'Prompt tokens of requests sent, by whether targets were expected'
+            ' to hold them.',
+            ['expected'],
+            registry=registry,
+        )
         self.answer_seconds = prometheus_client.Histogram(
             'wigeonfall_answer_seconds',
             'Time from the call to the end of its answer.',
@@ -109,6 +116,12 @@
             _count_passed_on(metrics, fields)
         elif event is Event.REQUEST_NOT_SERVED:
             _count_turned_away(metrics, fields)
+        elif event is Event.REQUEST_ASSIGNED:
+            kept = fields['kept_tokens']
+            metrics.prompt_tokens.labels('kept').inc(kept)
+            metrics.prompt_tokens.labels('read').inc(
+                max(0, fields['prompt_tokens'] - kept)
+            )
         elif event is Event.ATTEMPT_FAILED:
             metrics.attempt_failures.labels(fields['kind']).inc()
         elif event in (Event.PART_QUARANTINED, Event.PART_RELEASED):
--- a/wigeonfall/model/routing.py
+++ b/wigeonfall/model/routing.py
@@ -1,5 +1,6 @@
 """Routes: the services that run a call, and whether it may be resent."""
 
+from collections.abc import Mapping
 import enum
 
 import attrs
@@ -122,6 +123,8 @@
         services: names of all services.
         customers: all customers.
         limits: limits on the calls of callers.
+        memory_tokens: tokens that a target holds, by service; those that do
+            not declare it are left out.
     """
 
     version: int
@@ -129,3 +132,4 @@
     services: tuple[str, ...]
     customers: tuple[KeyHolder, ...]
     limits: CallerLimits
+    memory_tokens: Mapping[str, float] = attrs.field(factory=dict)
--- a/wigeonfall/policy/room/waiting.py
+++ b/wigeonfall/policy/room/waiting.py
@@ -26,6 +26,7 @@
 import attrs
 
 from ...model.prompt import PromptPart
+from ..targets.kept_parts import KeptParts
 from ..targets.load_balancer import LoadBalancer
 from ..targets.load_balancer import TimeBudget
 from ..targets.moving_average import MovingAverage
@@ -74,6 +75,8 @@
         kind: name of its route, '' if an older peer did not tell it.
         customer: name of its customer, '' if unknown.
         parts: parts of its prompt, in order.
+        kept_tokens: tokens of its prompt that its target is believed to hold,
+            once it has one.
     """
 
     id: str
@@ -89,6 +92,7 @@
     kind: str = ''
     customer: str = ''
     parts: tuple[PromptPart, ...] = ()
+    kept_tokens: float = 0.0
 
 
 class RequestQueue:
@@ -97,12 +101,17 @@
     Args:
         balancer: load balancer over the targets.
         draw: returns random numbers from 0 to 1.
+        kept: parts of prompts that targets hold.
     """
 
     def __init__(
-        self, balancer: LoadBalancer, draw: Callable[[], float] = random.random
+        self,
+        balancer: LoadBalancer,
+        draw: Callable[[], float] = random.random,
+        kept: KeptParts | None = None,
     ) -> None:
         self._balancer = balancer
+        self._kept = kept or KeptParts()
         self._draw = draw
         self._pending: dict[str, PendingRequest] = {}
         self._deadlines: list[tuple[float, str]] = []
@@ -216,8 +225,9 @@
                 continue
             if not self._may_dispatch(number, peers_waiting):
                 return
+            kept = self._kept.kept_tokens(pending.parts, open_targets, now_s)
             chosen = self._choose(
-                pending, open_targets, estimates, crowded, now_s
+                pending, open_targets, estimates, crowded, kept, now_s
             )
             if chosen is None:
                 passed_over += 1
@@ -226,10 +236,14 @@
             self._shares.count_served(pending.rank)
             self._count_dispatch(peers_waiting)
             name = chosen.stats.target.name
-            self._balancer.request_sent(name, pending.size)
-            chosen.add_request(pending.size)
+            size = pending.size.without(kept.get(name, 0.0))
+            self._balancer.request_sent(name, size)
+            self._kept.sent(chosen.stats, pending.parts, size, now_s)
+            chosen.add_request(size)
             if not chosen.is_open(now_s, crowded):
                 del open_targets[name]
+            if name in kept:
+                pending = attrs.evolve(pending, kept_tokens=kept[name])
             yield pending, chosen.stats
         self._freed_slots = 0
 
@@ -239,6 +253,7 @@
         open_targets: Mapping[str, TargetEstimate],
         estimates: list[TargetEstimate],
         crowded: bool,
+        kept: Mapping[str, float],
         now_s: float,
     ) -> TargetEstimate | None:
         budget = TimeBudget(
@@ -258,6 +273,7 @@
             ),
             crowded=crowded,
             short=self._is_short(pending),
+            kept_tokens=lambda name: kept.get(name, 0.0),
         )
 
     def _is_short(self, pending: PendingRequest) -> bool:
--- a/wigeonfall/policy/targets/load_balancer.py
+++ b/wigeonfall/policy/targets/load_balancer.py
@@ -16,6 +16,8 @@
 import attrs
 
 from ...model.target import Target
+from .kept_parts import Option
+from .kept_parts import prefer_holder
 from .moving_average import PeerAverage
 from .target_rates import TargetRates
 from .target_stats import DEFAULT_SLOTS
@@ -307,6 +309,10 @@
             deadline is left out if any other target would meet it.
         """
         estimates = list(estimates)
+
+        def unread(estimate: TargetEstimate) -> RequestSize:
+            return size.without(kept_tokens(estimate.stats.target.name))
+
         if short and any(e.rate is not None for e in estimates):
             busy = list(busy)
             if any(
@@ -320,20 +326,24 @@
             e
             for e in estimates
             if e.is_open(now_s, crowded)
-            and e.accepts(size)
-            and e.first_s(size) <= budget.patience_s
+            and e.accepts(unread(e))
+            and e.first_s(unread(e)) <= budget.patience_s
+        ]
+        in_time = [
+            e for e in candidates if _meets_deadline(e, unread(e), budget)
         ]
-        in_time = [e for e in candidates if _meets_deadline(e, size, budget)]
         if not in_time and any(
-            _meets_deadline(e, size, budget)
+            _meets_deadline(e, unread(e), budget)
             for e in (*estimates, *busy)
             if e.stats.backoff_until_s <= now_s
         ):
             return None
-        return min(
-            in_time or candidates,
-            key=lambda e: self._cost(e, e.first_s(size), size, budget),
-            default=None,
+        return prefer_holder(
+            [
+                (e, self._option(e, size, unread(e), budget))
+                for e in in_time or candidates
+            ],
+            budget.goal_s,
         )
 
     def _changed(self, name: str) -> TargetStats | None:
@@ -341,6 +351,20 @@
         self._estimates.pop(name, None)
         return self._stats.get(name)
 
+    def _option(
+        self,
+        estimate: TargetEstimate,
+        size: RequestSize,
+        unread: RequestSize,
+        budget: TimeBudget,
+    ) -> Option:
+        first_s = estimate.first_s(unread)
+        return Option(
+            first_s,
+            self._cost(estimate, first_s, unread, budget),
+            size.prompt_tokens - unread.prompt_tokens,
+        )
+
     def _cost(
         self,
         estimate: TargetEstimate,
--- a/wigeonfall/policy/targets/target_stats.py
+++ b/wigeonfall/policy/targets/target_stats.py
@@ -29,6 +29,13 @@
     prompt_tokens: float = 0.0
     answer_tokens: float = 0.0
 
+    def without(self, kept_tokens: float) -> 'RequestSize':
+        """Return the size that is left if some of the prompt is held."""
+        if not kept_tokens:
+            return self
+        left = max(0.0, self.prompt_tokens - kept_tokens)
+        return RequestSize(left, self.answer_tokens)
+
 
 @attrs.frozen
 class TargetLoad:
