Bound the parts known of all targets together

2,048 parts of each target took some 90 MB of an arbiter with a hundred targets, more than the smallest instances have to spare, as the last part of most prompts is their own. The bound holds for all targets together now, and parts are dropped once they are too old to count.

Result: two new tests; the first fails on the bound for each target.

--- a/tests/policy/test_kept_parts.py
+++ b/tests/policy/test_kept_parts.py
@@ -16,6 +16,7 @@
 from wigeonfall.policy.targets.kept_parts import KeptParts
 from wigeonfall.policy.targets.kept_parts import Option
 from wigeonfall.policy.targets.kept_parts import prefer_holder
+from wigeonfall.policy.targets.load_balancer import LoadBalancer
 from wigeonfall.policy.targets.target_stats import RequestSize
 
 MEMORY_TOKENS = 40_000.0
@@ -189,3 +190,29 @@
     load.kept.keep_targets(())
     assert not load.kept._holders
     assert not load.kept._memories
+
+
+def test_the_parts_known_of_all_targets_are_bounded(monkeypatch):
+    monkeypatch.setattr(kept_parts, 'MAX_PARTS', 40)
+    kept = KeptParts(lambda _: 1e9)
+    balancer = LoadBalancer('dc')
+    names = [f't{number}' for number in range(10)]
+    balancer.set_targets(
+        Target(name, 's', 'dc', '10.0.0.1:1', slots=8) for name in names
+    )
+    for number in range(1000):
+        for stats in balancer.stats_of(names):
+            part = PromptPart(f'{number}', 10)
+            kept.sent(stats, (part,), RequestSize(10, 1), 0.01 * number)
+    assert sum(len(m.uses) for m in kept._memories.values()) <= 40
+
+
+def test_parts_are_forgotten_after_their_age():
+    kept = KeptParts(lambda _: 1e9)
+    balancer = LoadBalancer('dc')
+    balancer.set_targets((Target('t', 's', 'dc', '10.0.0.1:1', slots=8),))
+    (stats,) = balancer.stats_of(('t',))
+    for at_s in (0.0, 2 * kept_parts.MAX_AGE_S):
+        part = PromptPart(f'{at_s}', 10)
+        kept.sent(stats, (part,), RequestSize(10, 1), at_s)
+    assert len(kept._memories['t'].uses) == 1
--- a/wigeonfall/policy/targets/kept_parts.py
+++ b/wigeonfall/policy/targets/kept_parts.py
@@ -27,7 +27,7 @@
 DEFAULT_MEMORY_TOKENS = 100_000.0  # of a target that does not declare it
 SURE_SHARE = 0.5  # of its memory; what was used before may be gone
 MAX_AGE_S = 60.0  # other requests of which nothing is known add up
-MAX_PARTS = 2048  # known of one target
+MAX_PARTS = 32_768  # of all targets; about 12 MB
 # Expected delays below this share of the time left until the goal are within
 # the error of the estimates.
 TOLERANCE_SHARE = 0.02
@@ -118,7 +118,7 @@
             memory.uses[part.id] = _Use(memory.written_tokens, now_s)
             memory.uses.move_to_end(part.id)
             self._holders.setdefault(part.id, set()).add(name)
-        self._evict(memory)
+        self._evict(memory, now_s)
 
     def ended(self, name: str, size: RequestSize) -> None:
         """Record the end of a request of a size at a target."""
@@ -195,12 +195,16 @@
             total = DEFAULT_MEMORY_TOKENS
         return max(1.0, total - memory.running_tokens)
 
-    def _evict(self, memory: _Memory) -> None:
+    def _evict(self, memory: _Memory, now_s: float) -> None:
         room = self._room(memory)
+        most_parts = max(1, MAX_PARTS // len(self._memories))
         while memory.uses:
             part_id, use = next(iter(memory.uses.items()))
-            gone = memory.written_tokens - use.written_tokens > room
-            if not gone and len(memory.uses) <= MAX_PARTS:
+            gone = (
+                memory.written_tokens - use.written_tokens > room
+                or now_s - use.at_s > MAX_AGE_S
+            )
+            if not gone and len(memory.uses) <= most_parts:
                 return
             del memory.uses[part_id]
             self._drop_holder(part_id, memory.stats.target.name)
