Take refunded tokens from the oldest entries of a window

A refund was counted as a negative entry of its own time. It left the window later than the charge, so that a customer whose requests waited and were refused could exceed its limit in between. Refunds are taken from the oldest entries now: the time of the charge is not known, and so no entry leaves the window before tokens that were used.

--- a/tests/policy/test_token_quota.py
+++ b/tests/policy/test_token_quota.py
@@ -13,6 +13,7 @@
 from wigeonfall.policy.room.token_quota import PeerVisibility
 from wigeonfall.policy.room.token_quota import QuotaTerms
 from wigeonfall.policy.room.token_quota import TokenQuotas
+from wigeonfall.policy.room.usage_window import UsageWindow
 
 PEERS = PeerVisibility({'peer', 'i0', 'i1', 'i2'})
 LIMIT_TOKENS = 1000.0 * token_quota.WINDOW_S + 2000.0
@@ -303,6 +304,40 @@
     assert quotas.take(customer, taken, PEERS, 9.0) is not None
 
 
+@given(
+    st.lists(
+        st.tuples(
+            st.floats(0.0, 2.0), st.integers(1, 50), st.floats(0.0, 3.0)
+        ),
+        max_size=40,
+    )
+)
+def test_refunds_never_make_a_window_count_too_little(charges):
+    """Requests wait for some time and are refused, or run."""
+    window = UsageWindow()
+    now_s = 0.0
+    used: list[tuple[float, int]] = []
+    refunds: list[tuple[float, int, float]] = []
+    for pause_s, tokens, waited_s in charges:
+        now_s += pause_s
+        refunds.sort()
+        while refunds and refunds[0][0] <= now_s:
+            at_s, refunded, _ = refunds.pop(0)
+            window.add(-refunded, at_s)
+        window.add(tokens, now_s)
+        if waited_s > 1.0:
+            refunds.append((now_s + waited_s, tokens, now_s))
+        else:
+            used.append((now_s, tokens))
+        window.drop_old(token_quota.WINDOW_S, now_s)
+        due = [
+            tokens
+            for at_s, tokens in used
+            if at_s > now_s - token_quota.WINDOW_S
+        ]
+        assert window.used_tokens >= sum(due)
+
+
 def test_a_lowered_limit_is_used_besides_the_one_before_in_one_window():
     quotas = TokenQuotas()
     charge = Charge('c', LIMIT_TOKENS, False)
--- a/wigeonfall/policy/room/usage_window.py
+++ b/wigeonfall/policy/room/usage_window.py
@@ -21,7 +21,7 @@
     Attributes:
         from_s: time of the first admission, on the monotonic clock.
         at_s: time of the last admission.
-        tokens: sum of the tokens; negative if more were refunded.
+        tokens: sum of the tokens that were not refunded.
     """
 
     from_s: float
@@ -63,6 +63,9 @@
     def add(self, tokens: float, now_s: float) -> None:
         """Count admitted tokens, or refunded ones if negative."""
         self.total_tokens += tokens
+        if tokens < 0:
+            self._refund(-tokens)
+            return
         self.used_tokens += tokens
         if self.entries and now_s - self.entries[-1].from_s < BIN_S:
             # The entry must not leave the window before its last tokens.
@@ -71,6 +74,21 @@
         else:
             self.entries.append(WindowEntry(now_s, now_s, tokens))
 
+    def _refund(self, tokens: float) -> None:
+        """Take refunded tokens from the oldest entries.
+
+        When they were charged is not known. No entry then leaves the window
+        before tokens that were used.
+        """
+        while tokens > 0 and self.entries:
+            oldest = self.entries[0]
+            taken = min(tokens, oldest.tokens)
+            oldest.tokens -= taken
+            self.used_tokens -= taken
+            tokens -= taken
+            if oldest.tokens <= 0:
+                self.entries.popleft()
+
     def drop_old(self, window_s: float, now_s: float) -> None:
         """Drop the entries that are older than the window."""
         while self.entries and self.entries[0].at_s <= now_s - window_s:
