Keep the earlier limit while tokens admitted under it are in the window

What was admitted before still does not count against the new limit, but both together stay within the earlier one until its tokens have left the window.

test_lower_limit_starts_with_an_empty_window took the whole earlier limit and then the lower one; the published bound of a window does not allow that without the tolerance.

--- a/wigeonfall/policy/room/token_quota.py
+++ b/wigeonfall/policy/room/token_quota.py
@@ -169,13 +169,20 @@
         tokens, is_retry = charge.tokens, charge.is_retry
         usage = self._usages.setdefault(customer.name, CustomerUsage())
         terms = self._terms()
+        usage.drop_old(visibility.names, terms.window_s, now_s)
         limit = customer.tokens_per_s * terms.window_s + customer.burst_tokens
         usage.set_limit(limit)
-        tolerance = terms.tolerance_tokens(limit) * visibility.tolerance_share
-        limit *= visibility.limit_share
-        if charge.has_room:
-            limit += tolerance
-        usage.drop_old(visibility.names, terms.window_s, now_s)
+
+        def usable(limit: float) -> float:
+            tolerance = terms.tolerance_tokens(limit) if charge.has_room else 0
+            share = visibility.tolerance_share
+            return limit * visibility.limit_share + tolerance * share
+
+        limit = usable(limit)
+        earlier = usage.earlier_tokens()
+        if earlier:
+            # A window that both limits are used in is bound by the higher one.
+            limit = min(limit, usable(usage.earlier_limit_tokens) - earlier)
         unknown_s = max(0.0, self._started_s + terms.window_s - now_s)
         unknown_tokens = (
             customer.tokens_per_s * unknown_s * visibility.young_share
@@ -187,7 +194,7 @@
         else:
             missing += usage.reserved_tokens(now_s)
         # A request above the whole limit is admitted to an empty window.
-        oversized = tokens > limit and used <= 0
+        oversized = tokens > limit and used + earlier <= 0
         if missing > 0 and not oversized:
             assumed_per_s = customer.tokens_per_s * visibility.young_share
             # Callers that were refused earlier come first.
--- a/wigeonfall/policy/room/usage_window.py
+++ b/wigeonfall/policy/room/usage_window.py
@@ -49,8 +49,9 @@
     """Tokens that one instance admitted lately for a customer.
 
     Attributes:
-        used_tokens: tokens in the window.
+        used_tokens: tokens in the window, admitted under the present limit.
         entries: admitted tokens, oldest first.
+        earlier: those admitted under a higher limit, oldest first.
         total_tokens: tokens admitted since the instance started.
     """
 
@@ -58,6 +59,9 @@
     entries: collections.deque[WindowEntry] = attrs.field(
         factory=collections.deque
     )
+    earlier: collections.deque[WindowEntry] = attrs.field(
+        factory=collections.deque
+    )
     total_tokens: float = 0.0
 
     def add(self, tokens: float, now_s: float) -> None:
@@ -80,22 +84,24 @@
         When they were charged is not known. No entry then leaves the window
         before tokens that were used.
         """
-        while tokens > 0 and self.entries:
-            oldest = self.entries[0]
-            taken = min(tokens, oldest.tokens)
-            oldest.tokens -= taken
-            self.used_tokens -= taken
-            tokens -= taken
-            if oldest.tokens <= 0:
-                self.entries.popleft()
+        tokens = _take_oldest(self.earlier, tokens)
+        left = _take_oldest(self.entries, tokens)
+        self.used_tokens -= tokens - left
+
+    def earlier_tokens(self) -> float:
+        """Return the tokens in the window from under a higher limit."""
+        return sum(entry.tokens for entry in self.earlier)
 
     def drop_old(self, window_s: float, now_s: float) -> None:
         """Drop the entries that are older than the window."""
+        while self.earlier and self.earlier[0].at_s <= now_s - window_s:
+            self.earlier.popleft()
         while self.entries and self.entries[0].at_s <= now_s - window_s:
             self.used_tokens -= self.entries.popleft().tokens
 
-    def clear(self) -> None:
-        """Drop all entries."""
+    def begin_lower_limit(self) -> None:
+        """Count what was admitted so far as under a higher limit."""
+        self.earlier.extend(self.entries)
         self.entries.clear()
         self.used_tokens = 0.0
 
@@ -106,6 +112,8 @@
 
     Attributes:
         limit_tokens: most tokens in a window, as last configured.
+        earlier_limit_tokens: that before it was lowered, while tokens admitted
+            under it are in the window.
         own: tokens admitted by this instance.
         peers: tokens admitted by peers, by their names.
         reservations: tokens reserved for refused callers.
@@ -113,6 +121,7 @@
     """
 
     limit_tokens: float = 0.0
+    earlier_limit_tokens: float = 0.0
     own: UsageWindow = attrs.field(factory=UsageWindow)
     peers: dict[str, UsageWindow] = attrs.field(factory=dict)
     reservations: list[Reservation] = attrs.field(factory=list)
@@ -123,6 +132,11 @@
         peers = sum(window.used_tokens for window in self.peers.values())
         return self.own.used_tokens + peers
 
+    def earlier_tokens(self) -> float:
+        """Return the tokens in all windows from under a higher limit."""
+        windows = (self.own, *self.peers.values())
+        return sum(window.earlier_tokens() for window in windows)
+
     def expected_tokens(self) -> float:
         """Return the reserved tokens that are expected to be used."""
         return self.retry_share * sum(r.tokens for r in self.reservations)
@@ -150,11 +164,19 @@
             )
 
     def set_limit(self, limit_tokens: float) -> None:
-        """Set the limit; a lower one starts with empty windows."""
+        """Set the limit; a lower one starts with empty windows.
+
+        What was admitted before counts against the earlier limit only, which
+        bounds the windows that both are used in.
+        """
         if limit_tokens < self.limit_tokens:
-            # What was admitted under the old limit does not count.
+            if not self.earlier_tokens():
+                self.earlier_limit_tokens = 0.0
+            self.earlier_limit_tokens = max(
+                self.limit_tokens, self.earlier_limit_tokens
+            )
             for window in (self.own, *self.peers.values()):
-                window.clear()
+                window.begin_lower_limit()
         self.limit_tokens = limit_tokens
 
     def drop_old(
@@ -176,7 +198,9 @@
         """Return the time until that many tokens leave the windows."""
         windows = (self.own, *self.peers.values())
         merged = heapq.merge(
-            *(window.entries for window in windows), key=lambda e: e.at_s
+            *(window.earlier for window in windows),
+            *(window.entries for window in windows),
+            key=lambda e: e.at_s,
         )
         for entry in merged:
             missing_tokens -= entry.tokens
@@ -184,3 +208,16 @@
                 left_s = entry.at_s + window_s - now_s
                 return max(MIN_DELAY_S, left_s)
         return window_s
+
+
+def _take_oldest(
+    entries: collections.deque[WindowEntry], tokens: float
+) -> float:
+    """Take tokens from the oldest entries; return those that are left."""
+    while tokens > 0 and entries:
+        taken = min(tokens, entries[0].tokens)
+        entries[0].tokens -= taken
+        tokens -= taken
+        if entries[0].tokens <= 0:
+            entries.popleft()
+    return tokens
