Pace the requests to targets that may be cold

Cause: nothing read for how long a target stays cold, so that a data centre which came back drew more requests than its targets endure: 31 reached one in a second on the shifted site, 29 are allowed.

Change: where the settings give a bound, each target of a service that states a rate is held to 0.8 of the bound at all times, and to the rate that it endures while its entry, a new start, a broken connection or the end of an evacuation says that it is cold. Rates are divided by instances: the arbiter has the part of all that it hears, one that is cut off its own, and where that is less than a request a second the instances take turns. Placing prefers warm targets a little, and waiting counts the room that rates leave.

--- a/tests/forwarding/test_hub_failover.py
+++ b/tests/forwarding/test_hub_failover.py
@@ -158,3 +158,49 @@
     most, _ = fleet.run(1.0)
     assert most <= 2 * len(DATA_CENTERS) * SIZE
     assert arbiters.MIN_HUB_COUNT <= len(DATA_CENTERS)
+
+
+def parts_of(fleet):
+    """Return the parts of paced rates of all instances that are up."""
+    return sorted(
+        topology.paced_share(0, fleet.now_s).part for topology in fleet.up()
+    )
+
+
+@pytest.mark.parametrize(
+    ('cut', 'down'),
+    [('', 0), ('a', 0), ('abcde', 0), ('', 1), ('', 40), ('b', 30)],
+)
+def test_parts_of_paced_rates_are_taken_once(cut, down):
+    """Halves of a fleet that do not hear each other keep a rate together."""
+    fleet = Fleet()
+    fleet.run(4.0)
+    assert parts_of(fleet)[-1] == 1.0
+    fleet.cut = set(cut)
+    fleet.down = set(list(fleet.topologies)[:down])
+    fleet.run(4.0)
+    parts = parts_of(fleet)
+    # Other hubs have a part of their own, in case that they are asked.
+    assert 0.9 * (SIZE - down) / SIZE <= sum(parts) <= 1.2
+    assert parts[-1] <= (SIZE - down) / SIZE
+
+
+def test_an_instance_that_hears_nobody_has_its_own_part():
+    fleet = Fleet()
+    fleet.run(4.0)
+    alone = fleet.topologies['n050:1']
+    assert alone.paced_share(0, fleet.now_s).part == 0.0
+    for after_s in (2.0, 20.0, 100.0):
+        share = alone.paced_share(0, fleet.now_s + after_s)
+        assert share == attrs.evolve(share, part=1 / SIZE, position=50)
+        assert share.instances == SIZE
+
+
+def test_a_new_instance_assumes_many_others_until_it_is_told():
+    topology = Topology(make_settings, Peers('10.0.0.0:1'), 100.0)
+    assert topology.paced_share(0, 100.1).part <= 0.01
+    topology.registered_count = 20
+    assert topology.paced_share(0, 300.2).part == 1.0
+    topology = Topology(make_settings, Peers('10.0.0.0:1'), 100.0)
+    topology.registered_count = 20
+    assert topology.paced_share(0, 100.1).part == 1 / 20
--- a/tests/users_platform/test_manifest.py
+++ b/tests/users_platform/test_manifest.py
@@ -10,6 +10,7 @@
 from wigeonfall_fleet import rollouts
 from wigeonfall_fleet import servers
 
+from wigeonfall.model.routing import ColdService
 from wigeonfall.model.routing import Repeat
 from wigeonfall.model.routing import ServiceWeight
 from wigeonfall.model.target import TargetState
@@ -46,7 +47,11 @@
             'LaterField': 1,
         },
     ],
-    'Services': [{'Name': 'pool'}, {'Name': 'other'}, {'Name': 'shop'}],
+    'Services': [
+        {'Name': 'pool', 'ColdStartS': 3, 'ColdPerS': 16},
+        {'Name': 'other'},
+        {'Name': 'shop', 'ColdStartS': 0, 'ColdPerS': 0},
+    ],
     'Limits': {'MaxBodyBytes': 1000, 'IdleTimeoutMs': 5000},
     'Tenants': [
         {
@@ -68,6 +73,7 @@
     'State': 'ready',
     'Sequence': 4,
     'born': 1776000000000,
+    'ColdRemainingMs': 2500,
 }
 
 
@@ -92,6 +98,7 @@
     assert once.answer_goal_s == once.timeout_s == 1.2
     (customer,) = table.customers
     assert customer.counts_tokens and customer.rank is None
+    assert table.cold_services == (ColdService('pool', 16, 3),)
     assert table.limits.body_bytes == 1000
     assert table.limits.header_bytes == 16384
     assert table.limits.idle_timeout_s == 5.0
@@ -123,6 +130,9 @@
     assert (target.name, target.service) == ('e1', 'pool')
     assert (target.address, target.slots) == ('10.0.0.9:81', 14)
     assert target.incarnation == 1776000000000
+    assert (target.cold_s, target.entry_version) == (2.5, 7)
+    silent = {k: v for k, v in ENTRY.items() if k != 'ColdRemainingMs'}
+    assert servers.decode(entry(silent)).cold_s is None
     leaving = servers.decode(entry(ENTRY | {'State': 'draining'}))
     assert leaving.state is TargetState.LEAVING
 
--- a/wigeonfall/events.py
+++ b/wigeonfall/events.py
@@ -74,6 +74,8 @@
     TARGET_LIMIT_LOWERED = (522, logging.INFO, 'concurrency limit lowered')
     TARGET_RATE_LIMITED = (523, logging.WARNING, 'target limits request rate')
     TARGET_RATE_UNLIMITED = (524, logging.INFO, 'target lifted rate limit')
+    TARGET_COLD = (530, logging.INFO, 'target is cold')
+    TARGET_WARM = (531, logging.INFO, 'target is not cold any more')
     EVACUATION_BEGUN = (532, logging.WARNING, 'data centre evacuated')
     EVACUATION_LIFTED = (533, logging.INFO, 'data centre taken back')
     EVACUATION_DRAINED = (534, logging.INFO, 'evacuated data centre is empty')
--- a/wigeonfall/forwarding/arbiter.py
+++ b/wigeonfall/forwarding/arbiter.py
@@ -31,6 +31,7 @@
 from .scheduler import Slot
 
 CLIENT_TIMEOUT_S = 1.2  # several messages of a client that holds slots
+RECENT_CLIENT_S = 0.4  # a message of a client that holds slots
 DECISIONS_DELAY_S = 0.002  # decisions made within it share a datagram
 
 
@@ -120,6 +121,13 @@
         if message.requests:
             self._reply_soon(message.name)
 
+    def client_count(self, now_s: float) -> int:
+        """Return the number of clients that were heard in the last moment."""
+        return sum(
+            now_s - client.received_s <= RECENT_CLIENT_S
+            for client in self._clients.values()
+        )
+
     def drop_silent_clients(self, now_s: float) -> None:
         """Release the slots and requests of clients that timed out."""
         for name, client in tuple(self._clients.items()):
@@ -149,7 +157,9 @@
                     )
                     client.adopted[slot.id] = slot
             else:
-                self._balancer.request_sent(slot.target, _prompt_size(slot))
+                self._balancer.request_sent(
+                    slot.target, _prompt_size(slot), placed=False
+                )
                 if not slot.prefilling:
                     self._balancer.mark_prompt_read(
                         slot.target, _prompt_size(slot)
--- a/wigeonfall/forwarding/cluster_state.py
+++ b/wigeonfall/forwarding/cluster_state.py
@@ -1,6 +1,7 @@
 """Decodes the store's objects into the state that an instance acts on."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import time
 from typing import Any, TypeVar
 
@@ -11,10 +12,12 @@
 
 from .. import decoding
 from ..events import Event
+from ..model.routing import ColdService
 from ..model.target import Target
 from ..policy.orders.evacuations import Evacuations
 from ..policy.orders.restored_orders import RestoredOrders
 from ..policy import routing
+from ..policy.targets import cold_targets
 from ..policy.targets.load_balancer import LoadBalancer
 from ..policy.targets.target_view import TargetView
 from ..policy.versions.version_trial import Trials
@@ -22,6 +25,7 @@
 from ..recorder import Record
 from .evacuation_log import EvacuationLog
 from .platform_adapter import PlatformAdapter
+from .settings import ColdSettings
 from .store_view import StoreView
 
 EVACUATIONS_WAIT_S = 2.0  # longer than for the other kinds
@@ -46,6 +50,7 @@
         trials: trials of new versions, get the orders.
         record: records events.
         evacuates: whether operators evacuate data centres.
+        cold_bound: returns the bound on requests to cold targets.
 
     Attributes:
         view: the encoded objects of the store.
@@ -60,6 +65,7 @@
         trials: Trials,
         record: Record,
         evacuates: bool = False,
+        cold_bound: Callable[[], ColdSettings] = ColdSettings,
     ) -> None:
         kinds: tuple[str, ...] = (
             adapter.table_kind,
@@ -74,6 +80,7 @@
         self.routing_index: routing.RoutingIndex | None = None
         self.target_names: dict[str, tuple[str, ...]] = {}
         self._adapter = adapter
+        self._cold_bound = cold_bound
         self._balancer = balancer
         self._trials = trials
         self._record = record
@@ -150,6 +157,7 @@
         self.target_names = {
             service: tuple(group) for service, group in names.items()
         }
+        self._balancer.cold.update(known, now_s)
         # What was learned of the targets of an evacuated data centre is kept.
         self._balancer.set_targets(known)
 
@@ -161,13 +169,53 @@
         """
         self._refresh_evacuations(now_s)
         self._evacuation_log.record_drained(self._balancer.all_stats(), now_s)
+        self._record_cold_changes()
         if self._orders.has_expired(now_s):
             self._trials.set_orders(self._orders.in_force(now_s), now_s)
 
     def _refresh_evacuations(self, now_s: float) -> None:
         """Apply the evacuations that are in force now."""
-        self._evacuation_log.update(self._evacuations.in_force(now_s), now_s)
+        lifted = self._evacuation_log.update(
+            self._evacuations.in_force(now_s), now_s
+        )
         self._refresh_targets(now_s)
+        for target in self._targets.usable(now_s):
+            if target.data_center in lifted:
+                self._balancer.cold.suspect(target.name, 'evacuation', now_s)
+
+    def _record_cold_changes(self) -> None:
+        cold = self._balancer.cold
+        for change in cold.take_changes():
+            if change.reason:
+                self._record(
+                    Event.TARGET_COLD,
+                    target=change.target,
+                    reason=change.reason,
+                    for_s=round(change.for_s, 1),
+                    cold=cold.cold_count,
+                )
+            else:
+                self._record(
+                    Event.TARGET_WARM,
+                    target=change.target,
+                    cold=cold.cold_count,
+                )
+
+    def _set_cold_terms(self, services: Iterable[ColdService]) -> None:
+        bound = self._cold_bound()
+        self._balancer.cold.set_terms(
+            {
+                service.name: cold_targets.make_terms(
+                    service.per_s,
+                    bound.overage,
+                    bound.slack_requests,
+                    service.longest_s,
+                )
+                for service in services
+                if bound.overage > 0
+            }
+        )
+        self._refresh_targets(time.monotonic())
 
     def _targets_revision(self) -> int:
         return self.view.positions()[self._adapter.targets_kind].revision
@@ -212,6 +260,7 @@
             if index is not None:
                 self.routing_index = index
                 table = index.table
+                self._set_cold_terms(table.cold_services)
                 self._record(
                     Event.TABLE_IN_FORCE,
                     version=table.version,
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -16,6 +16,7 @@
 from ..model.target import Target
 from ..policy.room import resend_budget
 from ..policy.room import token_quota
+from ..policy.targets.cold_targets import PacedShare
 from ..policy.targets.load_balancer import LoadBalancer
 from ..policy.targets.quarantine import Quarantines
 from ..policy.versions.version_trial import Trials
@@ -75,6 +76,7 @@
             trials,
             record,
             evacuates=settings.evacuation.stop_ms > 0,
+            cold_bound=lambda: self._settings.cold,
         )
         self._started_s = time.monotonic()
         self._quotas = token_quota.TokenQuotas(
@@ -161,6 +163,7 @@
             send=self._link.send_message,
             record=record,
         )
+        self._balancer.cold.share_of = self._paced_share
         self._live_names: frozenset[str] = frozenset()
         self._leaving = False
         self._stop_deadline = StopDeadline()
@@ -334,6 +337,11 @@
             record=self.record,
         )
 
+    def _paced_share(self, now_s: float) -> PacedShare:
+        return self._topology.paced_share(
+            self._arbiter.client_count(now_s), now_s
+        )
+
     def _on_misdirected(self, target: Target) -> None:
         """Record that a target's address now belongs to another target."""
         self._balancer.record_broken_connection(target.name, time.monotonic())
--- a/wigeonfall/forwarding/settings.py
+++ b/wigeonfall/forwarding/settings.py
@@ -106,6 +106,20 @@
     slack_tokens: float = 0.0
 
 
+@attrs.frozen
+class ColdSettings:
+    """Bound on the requests that reach a cold target in a second.
+
+    Attributes:
+        overage: factor by which the rate that it endures may be exceeded; 0
+            for no bound.
+        slack_requests: requests by which it may be exceeded besides.
+    """
+
+    overage: float = 0.0
+    slack_requests: float = 0.0
+
+
 @attrs.frozen
 class EvacuationSettings:
     """Whether operators evacuate data centres.
@@ -131,6 +145,7 @@
     machine: MachineSettings
     log: LogSettings
     quota: QuotaSettings = QuotaSettings()
+    cold: ColdSettings = ColdSettings()
     evacuation: EvacuationSettings = EvacuationSettings()
 
     @property
--- a/wigeonfall/forwarding/topology.py
+++ b/wigeonfall/forwarding/topology.py
@@ -8,12 +8,17 @@
 from ..policy import arbiters
 from ..policy.arbiters import Candidate
 from ..policy.room import token_quota
+from ..policy.targets.cold_targets import PacedShare
 from .peers import Peers
 from .settings import ForwardingSettings
 
 HUBS_PERIOD_S = 0.1  # far below the time after which a peer is silent
 FIRST_LISTING_S = 0.3  # from the start until registered instances are known
 START_SETTLE_S = 1.5  # from the start until instances know the hubs
+UNKNOWN_INSTANCES = 100  # assumed while nobody has told their number
+REGISTERED_AGE_S = 30.0  # from the start until peers tell all instances
+OWN_VIEW_AGE_S = 3.0  # from the start until all peers were heard
+MOST_MEMORY_S = 120.0  # for which instances that fell silent still count
 # Least and most; a short outage ends before most instances have tried.
 HUBLESS_WATCH_DELAY_S = (1.0, 6.0)
 
@@ -43,6 +48,8 @@
     _acts_as_hub: bool = False
     _hubs: tuple[Candidate, ...] = ()
     _hubs_chosen_s: float = float('-inf')
+    _most: int = 0
+    _most_s: float = float('-inf')
 
     @property
     def name(self) -> str:
@@ -191,6 +198,47 @@
             return self.peers.live_data_center_share(self.data_center, now_s)
         return self.peers.live_share(now_s) or 1 / self.peers.fleet_size(now_s)
 
+    def paced_share(self, client_count: int, now_s: float) -> PacedShare:
+        """Return the part of rates that no side may exceed together.
+
+        Each instance counts at the one that places its requests: the first
+        hub for all that it hears, another one for its present clients. Those
+        that are not heard may be cut off and use their own part. One that
+        still hears hubs still counts at the first of them.
+
+        Args:
+            client_count: instances that have just asked this one for places.
+            now_s: present time on the monotonic clock.
+        """
+        own_address = self.settings().listen.peers_address
+        instances = self._most_instances(now_s)
+        placed = 1
+        if self.uses_hubs(now_s):
+            live_count = len(self.peers.live(now_s))
+            is_old = now_s - self.started_s >= OWN_VIEW_AGE_S
+            if not self.is_hub(now_s):
+                placed = 0 if live_count else 1
+            elif is_old and self.knows_load(now_s):
+                placed = 1 + live_count
+            else:
+                placed = 1 + client_count
+        return PacedShare(
+            min(1.0, placed / instances),
+            sum(a < own_address for a in self.peers.addresses()),
+            instances,
+        )
+
+    def _most_instances(self, now_s: float) -> int:
+        """Return the most instances that were known lately."""
+        count = self.peers.fleet_size(now_s)
+        if now_s - self.started_s < REGISTERED_AGE_S:
+            count = max(count, self.registered_count)
+        if count == 1 and not self.registered_count:
+            count = UNKNOWN_INSTANCES
+        if count >= self._most or now_s - self._most_s > MOST_MEMORY_S:
+            self._most, self._most_s = count, now_s
+        return self._most
+
     def quota_visibility(self, now_s: float) -> token_quota.PeerVisibility:
         """Return which peers' quota usage is known."""
         own_age_s = now_s - self.started_s
--- a/wigeonfall/metrics.py
+++ b/wigeonfall/metrics.py
@@ -51,6 +51,11 @@
             ['target'],
             registry=registry,
         )
+        self.cold_targets = prometheus_client.Gauge(
+            'wigeonfall_cold_targets',
+            'Targets that are known to be cold.',
+            registry=registry,
+        )
         self.evacuated_data_centres = prometheus_client.Gauge(
             'wigeonfall_evacuated_data_centres',
             'Data centres whose targets get no new requests.',
@@ -124,6 +129,8 @@
         elif event is Event.TARGET_RATE_UNLIMITED:
             target = metrics.label('target', fields['target'])
             metrics.target_rate_limit.labels(target).set(math.inf)
+        elif event in (Event.TARGET_COLD, Event.TARGET_WARM):
+            metrics.cold_targets.set(fields['cold'])
         elif event in (Event.EVACUATION_BEGUN, Event.EVACUATION_LIFTED):
             metrics.evacuated_data_centres.set(fields['evacuated'])
 
--- a/wigeonfall/model/routing.py
+++ b/wigeonfall/model/routing.py
@@ -112,6 +112,21 @@
     idle_timeout_s: float = 15.0
 
 
+@attrs.frozen
+class ColdService:
+    """A service whose targets endure few requests while they are cold.
+
+    Attributes:
+        name: name of the service.
+        per_s: requests a second that a cold target endures.
+        longest_s: longest time for which a target stays cold.
+    """
+
+    name: str
+    per_s: float
+    longest_s: float
+
+
 @attrs.frozen
 class RoutingTable:
     """The routes, customers and limits that operators set.
@@ -122,6 +137,7 @@
         services: names of all services.
         customers: all customers.
         limits: limits on the calls of callers.
+        cold_services: services whose cold targets endure few requests.
     """
 
     version: int
@@ -129,3 +145,4 @@
     services: tuple[str, ...]
     customers: tuple[KeyHolder, ...]
     limits: CallerLimits
+    cold_services: tuple[ColdService, ...] = ()
--- a/wigeonfall/model/target.py
+++ b/wigeonfall/model/target.py
@@ -25,6 +25,9 @@
         version: version of the model or program that it serves.
         state: last known state.
         slots: number of requests that it can run concurrently, 0 if unknown.
+        cold_s: time for which it stays cold as of its entry, None if the
+            entry does not tell.
+        entry_version: version of its entry in the store.
     """
 
     name: str
@@ -35,3 +38,6 @@
     version: str = ''
     state: TargetState = TargetState.READY
     slots: int = 0
+    # These change with time and make it no other target.
+    cold_s: float | None = attrs.field(default=None, eq=False)
+    entry_version: int = attrs.field(default=0, eq=False)
--- a/wigeonfall/policy/targets/load_balancer.py
+++ b/wigeonfall/policy/targets/load_balancer.py
@@ -16,6 +16,7 @@
 import attrs
 
 from ...model.target import Target
+from .cold_targets import ColdTargets
 from .moving_average import PeerAverage
 from .target_rates import TargetRates
 from .target_stats import DEFAULT_SLOTS
@@ -31,6 +32,7 @@
 FAILURE_PENALTY = 4.0  # multiplied with the failure rate
 DECODE_WEIGHT = 0.5  # of decode time against time to the first event
 BLOCKING_WEIGHT = 0.3  # of the time that a prompt delays another stream
+COLD_PENALTY = 0.25  # share added for a target that is known to be cold
 LATE_FACTOR = 3.0  # if the first event would miss its goal
 ESTIMATE_MAX_AGE_S = 0.25  # averages hardly decay within it
 BACKOFF_S = 0.5  # after the first broken connection; then doubled
@@ -65,10 +67,12 @@
 
     Attributes:
         rates: request rates that targets accept.
+        cold: paces of targets that may be cold.
     """
 
     def __init__(self, data_center: str) -> None:
         self.rates = TargetRates()
+        self.cold = ColdTargets()
         self._data_center = data_center
         self._stats: dict[str, TargetStats] = {}
         self._estimates: dict[str, TargetEstimate] = {}
@@ -131,8 +135,18 @@
             if stats.own_requests or stats.prefill_s.weight_at(now_s) > 0.1
         }
 
-    def request_sent(self, name: str, size: RequestSize) -> None:
-        """Count a request that is sent to a target."""
+    def request_sent(
+        self, name: str, size: RequestSize, placed: bool = True
+    ) -> None:
+        """Count a request that is sent to a target.
+
+        Args:
+            name: name of the target.
+            size: size of the request.
+            placed: whether it is sent now, by a decision of this instance.
+        """
+        if placed:
+            self.cold.count_sent(name)
         stats = self._changed(name)
         if stats is not None:
             self.rates.count_sent(_rate_key(stats.target))
@@ -222,6 +236,7 @@
         if stats is None:
             return 0.0
         self.record_failure(name)
+        self.cold.suspect(name, 'connection', now_s)
         pause_s = min(MAX_BACKOFF_S, BACKOFF_S * 2**stats.connection_failures)
         stats.connection_failures += 1
         stats.backoff_until_s = now_s + pause_s
@@ -261,6 +276,7 @@
         if now_s - self._estimated_s > ESTIMATE_MAX_AGE_S:
             self._estimates.clear()
             self._estimated_s = now_s
+        self.cold.refresh_share(now_s)
         kept = self._estimates
         estimates = []
         for name in names:
@@ -270,7 +286,8 @@
                 if stats is None:
                     continue
                 rate = self.rates.limit_of(_rate_key(stats.target))
-                estimate = stats.estimate(now_s, rate)
+                pace = self.cold.pace_of(name)
+                estimate = stats.estimate(now_s, rate, pace)
                 if rate is None:
                     kept[name] = estimate
             estimates.append(estimate)
@@ -358,6 +375,8 @@
         cost *= 1 + FAILURE_PENALTY * stats.failure_rate
         if stats.target.data_center != self._data_center:
             cost *= 1 + REMOTE_PENALTY
+        if estimate.pace is not None and estimate.pace.is_cold:
+            cost *= 1 + COLD_PENALTY
         return cost
 
 
--- a/wigeonfall/policy/targets/target_stats.py
+++ b/wigeonfall/policy/targets/target_stats.py
@@ -5,6 +5,7 @@
 import attrs
 
 from ...model.target import Target
+from .cold_targets import Pace
 from .moving_average import combined
 from .moving_average import MovingAverage
 from .moving_average import PeerAverage
@@ -116,13 +117,17 @@
         return self.own_prefill_tokens + peers
 
     def estimate(
-        self, now_s: float, rate: TargetRate | None = None
+        self,
+        now_s: float,
+        rate: TargetRate | None = None,
+        pace: Pace | None = None,
     ) -> 'TargetEstimate':
         """Return an estimate for the target as of now.
 
         Args:
             now_s: present time on the monotonic clock.
             rate: the rate that the target accepts, None if it names none.
+            pace: its pace while it may be cold, None if it has none.
         """
         room = float('inf') if rate is None else rate.room(now_s)
         prefill = (load.prefill_s for load in self.peers)
@@ -136,6 +141,7 @@
             min(room, self.free_slots),
             min(room, self.spare_slots),
             rate,
+            pace,
         )
 
 
@@ -152,6 +158,7 @@
         free_slots: number of requests that it may still get.
         spare_slots: number of requests with a short prompt that it may get.
         rate: the rate that the target accepts, None if it names none.
+        pace: its pace while it may be cold, None if it has none.
     """
 
     stats: TargetStats
@@ -162,6 +169,7 @@
     free_slots: float
     spare_slots: float
     rate: TargetRate | None = None
+    pace: Pace | None = None
 
     def concurrency(self, work_s: float) -> float:
         """Return how many requests it can run side by side.
@@ -169,9 +177,12 @@
         Args:
             work_s: mean time of a request there.
         """
-        if self.rate is None:
-            return self.stats.limit
-        return min(self.stats.limit, self.rate.used_per_s * work_s)
+        rates_per_s = (
+            limit.used_per_s
+            for limit in (self.rate, self.pace)
+            if limit is not None
+        )
+        return min((self.stats.limit, *(r * work_s for r in rates_per_s)))
 
     def first_s(self, size: RequestSize) -> float:
         """Return the expected time to the first event, 0 if unknown."""
@@ -188,6 +199,8 @@
         slots = self.spare_slots if crowded else self.free_slots
         if slots < 1 or self.stats.backoff_until_s > now_s:
             return False
+        if self.pace is not None and self.pace.room(now_s) < 1:
+            return False
         known = self.prefill_s > 0
         return known or self.outstanding < UNKNOWN_TARGET_REQUESTS
 
