--- a/wigeonfall/model/routing.py
+++ b/wigeonfall/model/routing.py
@@ -113,6 +113,21 @@
     idle_timeout_s: float = 15.0
 
 
+@attrs.frozen
+class ColdService:
+    """A service whose targets endure few requests while they are cold.
+
+    Attributes:
+        name: name of the service.
+        per_s: requests a second that a cold target endures.
+        longest_s: longest time for which a target stays cold.
+    """
+
+    name: str
+    per_s: float
+    longest_s: float
+
+
 @attrs.frozen
 class RoutingTable:
     """The routes, customers and limits that operators set.
@@ -125,6 +140,7 @@
         limits: limits on the calls of callers.
         memory_tokens: tokens that a target holds, by service; those that do
             not declare it are left out.
+        cold_services: services whose cold targets endure few requests.
     """
 
     version: int
@@ -133,3 +149,4 @@
     customers: tuple[KeyHolder, ...]
     limits: CallerLimits
     memory_tokens: Mapping[str, float] = attrs.field(factory=dict)
+    cold_services: tuple[ColdService, ...] = ()
