Tell where a request would go now, without sending it

Operators could learn from logs what became of a request, but not ask what would become of one. `wigeonfall place` asks an instance on its metrics or peers address, and the arbiter where that one decides. The page takes the decisions of a real request in their order: routing, customer, quarantined parts, quota, queue and targets.

The making of waiting requests moves out of the call handler, so that page and handler make the same ones.

--- a/wigeonfall/cli.py
+++ b/wigeonfall/cli.py
@@ -19,12 +19,14 @@
 from .commands.common import ExitCode
 from .commands.common import Output
 from .commands import configuration as configuration_commands
+from .commands import place as place_command
 from .commands import rollout
 from .serving import assembly
 from .serving import process
 
 app = typer.Typer(no_args_is_help=True, help='Schedule requests to engines.')
 configuration_commands.register(app)
+place_command.register(app)
 
 app.add_typer(rollout.make_app(platform.make_platform), name='rollout')
 
--- a/wigeonfall/forwarding/call_handler.py
+++ b/wigeonfall/forwarding/call_handler.py
@@ -8,10 +8,7 @@
 from result import Err
 
 from . import attempt as attempt_module
-from ..policy.room import patience
-from ..policy.room.token_quota import Charge
 from ..policy.room.token_quota import OverLimit
-from ..policy.room import waiting
 from ..policy import routing
 from ..recorder import Record
 from .attempt import AttemptContext
@@ -22,6 +19,8 @@
 from .header_names import HeaderNames
 from .outcomes import Outcomes
 from .outcomes import Progress
+from .pending_requests import make_charge
+from .pending_requests import make_pending
 from .relaying import AttemptOutcome
 from .relaying import AttemptResult
 from .relaying import raise_after_deadline
@@ -113,7 +112,7 @@
             self._outcomes.record_caller_left(request, progress)
             raise
         finally:
-            charge = _charge(request, progress.is_retry)
+            charge = make_charge(request, progress.is_retry)
             if progress.admitted and not progress.ran and charge:
                 self._context.slots.refund_tokens(charge)
 
@@ -211,55 +210,28 @@
         self, request: RoutedRequest, progress: Progress
     ) -> Decision | OverLimit:
         now_s = time.monotonic()
-        left_s = request.deadline_s - now_s
-        route = request.route
         if not progress.attempts:
             progress.is_retry = self._is_retry(request)
-        is_retry = progress.is_retry or progress.attempts > 0
-        wait_s = patience.wait_limit_s(
-            route.streaming,
-            route.answer_goal_s,
-            route.pace_goal_s,
-            left_s,
-            is_retry,
-        )
         self._sequence += 1
-        pending = waiting.PendingRequest(
-            id=f'{request.id}/{self._sequence}',
-            rank=request.rank,
-            is_retry=is_retry,
-            arrived_s=request.call.arrived_s,
-            goal_s=request.call.arrived_s + route.answer_goal_s,
-            patience_s=self._patience_end_s(request),
-            deadline_s=request.deadline_s,
-            queue_deadline_s=now_s + wait_s,
-            size=request.size,
-            is_eligible=lambda name: (
+        pending = make_pending(
+            request,
+            f'{request.id}/{self._sequence}',
+            progress.is_retry or progress.attempts > 0,
+            lambda name: (
                 name not in progress.excluded
                 and self._context.allows(request, name)
             ),
-            kind=route.name,
-            customer=request.customer.name if request.customer else '',
-            parts=request.parts,
+            now_s,
         )
         charge = None
         if not progress.admitted:
-            charge = _charge(request, progress.is_retry)
+            charge = make_charge(request, progress.is_retry)
         slot = await self._context.slots.acquire(
             request.service, pending, charge
         )
         progress.waited_s += time.monotonic() - now_s
         return slot
 
-    def _patience_end_s(self, request: RoutedRequest) -> float:
-        route = request.route
-        if not route.streaming:
-            return request.deadline_s
-        patience_s = patience.patience_s(
-            route.answer_goal_s, route.pace_goal_s
-        )
-        return min(request.deadline_s, request.call.arrived_s + patience_s)
-
     def _is_retry(self, request: RoutedRequest) -> bool:
         longest_timeout_s = max(
             self._longest_timeout_s.get(request.route.name, 0.0),
@@ -295,14 +267,3 @@
         if not allowed:
             self._outcomes.record_resend_refused(request, progress)
         return allowed
-
-
-def _charge(request: RoutedRequest, is_retry: bool) -> Charge | None:
-    if request.customer is None:
-        return None
-    return Charge(
-        request.customer.name,
-        request.tokens,
-        is_retry,
-        patience.RETRY_SHARE * request.caller_timeout_s,
-    )
--- a/wigeonfall/forwarding/customer_quotas.py
+++ b/wigeonfall/forwarding/customer_quotas.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from ..model.routing import KeyHolder
 from ..policy.room import token_quota
 from .cluster_state import ClusterState
 from .settings import QuotaSettings
@@ -29,14 +30,28 @@
         self, charge: token_quota.Charge, now_s: float
     ) -> token_quota.OverLimit | None:
         """Charge a customer; return its refusal if it is over its limit."""
-        index = self.cluster_state.routing_index
-        holder = index.by_name.get(charge.customer) if index else None
+        holder = self._holder(charge.customer)
         if holder is None:
             return None
         return self.quotas.take(
             holder, charge, self.topology.quota_visibility(now_s), now_s
         )
 
+    def would_refuse(
+        self, charge: token_quota.Charge, now_s: float
+    ) -> token_quota.OverLimit | None:
+        """Return what take would return, without taking anything."""
+        holder = self._holder(charge.customer)
+        if holder is None:
+            return None
+        return self.quotas.would_refuse(
+            holder, charge, self.topology.quota_visibility(now_s), now_s
+        )
+
+    def _holder(self, customer: str) -> KeyHolder | None:
+        index = self.cluster_state.routing_index
+        return index.by_name.get(customer) if index else None
+
     def refund(self, customer: str, tokens: float) -> None:
         """Refund the tokens of a request that did not run."""
         self.quotas.refund(customer, tokens, time.monotonic())
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -14,6 +14,7 @@
 from . import internal_pages
 from ..model.routing import CallerLimits
 from ..model.target import Target
+from . import place_page
 from ..policy.room import resend_budget
 from ..policy.room import token_quota
 from ..policy.targets.kept_parts import KeptParts
@@ -34,6 +35,7 @@
 from .cluster_state import ClusterState
 from .exchange import ConnectionPool
 from .internal_pages import Page
+from .internal_pages import QuestionPage
 from .observations import Observations
 from .part_watch import PartWatch
 from .peer_news import NewsExchange
@@ -222,6 +224,37 @@
         """Return pages with snapshots of the store, for peers."""
         return internal_pages.snapshot_pages(self._cluster_state.view)
 
+    def question_pages(self) -> dict[bytes, QuestionPage]:
+        """Return pages that answer questions of operators."""
+        context = place_page.PlaceContext(
+            names=self.adapter.header_names,
+            data_center=self._settings.instance.data_center,
+            index=lambda: self._cluster_state.routing_index,
+            leaving=lambda: self._leaving,
+            hold=self._part_watch.hold,
+            would_refuse=self._customer_quotas.would_refuse,
+            allows=self._rollouts.allows,
+            rehearse=self._scheduler.rehearse,
+            arbiter=lambda: (
+                self._slot_client.arbiter,
+                self._slot_client.arbiter_address,
+            ),
+            instances=self._peers.addresses_by_data_center,
+            inputs=self._inputs,
+        )
+        return {place_page.PATH: lambda call: place_page.answer(context, call)}
+
+    def _inputs(self, now_s: float) -> dict[str, Any]:
+        """Return what decisions rest on besides targets, and its age."""
+        index = self._cluster_state.routing_index
+        return {
+            'instance': self._settings.instance.name,
+            'table_version': index.table.version if index else 0,
+            'store_reachable': self._cluster_state.store_reachable,
+            'watches_store': self._watches,
+            'peers': self._peers.ages_ms(now_s),
+        }
+
     def set_settings(self, settings: ForwardingSettings) -> None:
         """Apply changed settings."""
         if settings.platform != self._settings.platform:
--- a/wigeonfall/forwarding/internal_pages.py
+++ b/wigeonfall/forwarding/internal_pages.py
@@ -21,17 +21,31 @@
 MAX_SNAPSHOT_BYTES = 16 << 20
 
 Page: TypeAlias = Callable[[], tuple[int, bytes]]
+QuestionPage: TypeAlias = Callable[[Call], tuple[int, bytes]]
 
 
-def make_page_handler(pages: Mapping[bytes, Page]) -> HandleCall:
-    """Return a handler that answers requests with the page of their path."""
+def make_page_handler(
+    pages: Mapping[bytes, Page],
+    questions: Mapping[bytes, QuestionPage] | None = None,
+) -> HandleCall:
+    """Return a handler that answers requests with the page of their path.
+
+    Args:
+        pages: pages that do not depend on the request.
+        questions: pages that do.
+    """
 
     async def handle(call: Call, reply: Reply) -> None:
-        page = pages.get(call.path.partition(b'?')[0])
-        if page is None:
+        path = call.path.partition(b'?')[0]
+        page = pages.get(path)
+        question = (questions or {}).get(path)
+        if page is not None:
+            status, body = page()
+        elif question is not None:
+            status, body = question(call)
+        else:
             reply.send(http.HTTPStatus.NOT_FOUND, (), b'')
             return
-        status, body = page()
         reply.send(status, (), body)
 
     return handle
--- a/wigeonfall/forwarding/peers.py
+++ b/wigeonfall/forwarding/peers.py
@@ -111,6 +111,22 @@
             if now_s - peer.received_s <= LIVE_TIMEOUT_S
         ]
 
+    def ages_ms(self, now_s: float) -> dict[str, int]:
+        """Return the ages of the newest states of live peers, by name."""
+        return {
+            peer.state.name: round((now_s - peer.received_s) * 1000)
+            for peer in self.live(now_s)
+        }
+
+    def addresses_by_data_center(self, now_s: float) -> dict[str, list[str]]:
+        """Return the addresses of live peers by their data centres."""
+        addresses: dict[str, list[str]] = {}
+        for peer in self.live(now_s):
+            addresses.setdefault(peer.state.data_center, []).append(
+                peer.state.address
+            )
+        return addresses
+
     def live_names(self, now_s: float) -> frozenset[str]:
         """Return the names of the peers that are live."""
         return frozenset(p.state.name for p in self.live(now_s))
--- a/wigeonfall/forwarding/process.py
+++ b/wigeonfall/forwarding/process.py
@@ -150,7 +150,8 @@
                     prometheus_client.generate_latest(self._registry),
                 ),
                 **self._instance.snapshot_pages(),
-            }
+            },
+            self._instance.question_pages(),
         )
         served.append((listen.peers_address, pages))
         if listen.metrics_address != listen.peers_address:
@@ -180,10 +181,12 @@
         }
 
     def _make_page_server(
-        self, pages: dict[bytes, internal_pages.Page]
+        self,
+        pages: dict[bytes, internal_pages.Page],
+        questions: dict[bytes, internal_pages.QuestionPage] | None = None,
     ) -> ServerContext:
         return ServerContext(
-            handle=internal_pages.make_page_handler(pages),
+            handle=internal_pages.make_page_handler(pages, questions),
             limits=self._instance.limits,
             closing=lambda: False,
         )
--- a/wigeonfall/forwarding/scheduler.py
+++ b/wigeonfall/forwarding/scheduler.py
@@ -9,6 +9,8 @@
 import attrs
 
 from ..model.target import Target
+from ..policy.room.rehearsal import Rehearsal
+from ..policy.room.rehearsal import rehearse
 from ..policy.room.waiting import PendingRequest
 from ..policy.room.waiting import RequestQueue
 from ..policy.targets.kept_parts import KeptParts
@@ -227,6 +229,21 @@
         if dispatched:
             self._on_load_change()
 
+    def rehearse(
+        self, service: str, pending: PendingRequest, now_s: float
+    ) -> Rehearsal:
+        """Return what would become of a request now; nothing changes."""
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = RequestQueue(self.balancer, kept=self._kept)
+        return rehearse(
+            queue,
+            pending,
+            self._targets_of(service),
+            self._peers_waiting(service),
+            now_s,
+        )
+
     def keep_targets(self, names: Iterable[str]) -> None:
         """Forget what all targets but the named ones hold."""
         self._kept.keep_targets(names)
--- a/wigeonfall/forwarding/slot_client.py
+++ b/wigeonfall/forwarding/slot_client.py
@@ -122,6 +122,11 @@
         """Name of the arbiter in use, '' for none."""
         return self._arbiter.name if self._arbiter else ''
 
+    @property
+    def arbiter_address(self) -> str:
+        """Address of the arbiter in use, '' for none."""
+        return self._arbiter.address if self._arbiter else ''
+
     async def acquire(
         self, service: str, pending: PendingRequest, charge: Charge | None
     ) -> AcquireResult:
--- a/wigeonfall/policy/room/token_quota.py
+++ b/wigeonfall/policy/room/token_quota.py
@@ -22,6 +22,7 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
+import copy
 
 import attrs
 
@@ -166,8 +167,31 @@
         """
         if customer.tokens_per_s <= 0:
             return None
-        tokens, is_retry = charge.tokens, charge.is_retry
         usage = self._usages.setdefault(customer.name, CustomerUsage())
+        return self._take(usage, customer, charge, visibility, now_s)
+
+    def would_refuse(
+        self,
+        customer: KeyHolder,
+        charge: Charge,
+        visibility: PeerVisibility,
+        now_s: float,
+    ) -> OverLimit | None:
+        """Return what take would return, without taking anything."""
+        if customer.tokens_per_s <= 0:
+            return None
+        usage = copy.deepcopy(self._usages.get(customer.name, CustomerUsage()))
+        return self._take(usage, customer, charge, visibility, now_s)
+
+    def _take(
+        self,
+        usage: CustomerUsage,
+        customer: KeyHolder,
+        charge: Charge,
+        visibility: PeerVisibility,
+        now_s: float,
+    ) -> OverLimit | None:
+        tokens, is_retry = charge.tokens, charge.is_retry
         terms = self._terms()
         limit = customer.tokens_per_s * terms.window_s + customer.burst_tokens
         usage.set_limit(limit)
--- a/wigeonfall/policy/room/waiting.py
+++ b/wigeonfall/policy/room/waiting.py
@@ -19,13 +19,16 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
+import copy
 import heapq
+import itertools
 import random
 from typing import TypeAlias
 
 import attrs
 
 from ...model.prompt import PromptPart
+from ..targets.kept_parts import HeldAtOnce
 from ..targets.kept_parts import KeptParts
 from ..targets.load_balancer import LoadBalancer
 from ..targets.load_balancer import TimeBudget
@@ -130,6 +133,39 @@
     def __len__(self) -> int:
         return len(self._pending)
 
+    def trial_copy(self, now_s: float) -> 'RequestQueue':
+        """Return a copy, with one of the balancer, to try a request on."""
+        kept = HeldAtOnce(self._kept, self._balancer.all_stats(), now_s)
+        shared = (
+            *self._pending.values(),
+            *self._balancer.frozen_values(),
+            *(value for value in vars(self).values() if callable(value)),
+        )
+        memo: dict[int, object] = {id(value): value for value in shared}
+        memo[id(self._kept)] = kept
+        return copy.deepcopy(self, memo)
+
+    @property
+    def balancer(self) -> LoadBalancer:
+        """The load balancer over the targets."""
+        return self._balancer
+
+    @property
+    def kept(self) -> KeptParts:
+        """Parts of prompts that targets hold."""
+        return self._kept
+
+    def ahead_of(self, pending_id: str) -> tuple[int, float]:
+        """Return how many requests wait before one, and its expected wait."""
+        ahead = [
+            self._work.of(self._pending[name].size)
+            for *_, name in itertools.takewhile(
+                lambda position: position[-1] != pending_id, self._order
+            )
+            if name in self._pending
+        ]
+        return len(ahead), self._room.wait_s(sum(ahead))
+
     def counts_by_class(self) -> dict[int, int]:
         """Return the number of waiting requests by priority class."""
         counts: dict[int, int] = {}
--- a/wigeonfall/policy/targets/kept_parts.py
+++ b/wigeonfall/policy/targets/kept_parts.py
@@ -212,6 +212,42 @@
             del self._holders[part_id]
 
 
+class HeldAtOnce(KeptParts):
+    """What targets hold at one moment, without learning of requests.
+
+    Args:
+        kept: the parts that targets hold.
+        stats: statistics of the targets.
+        now_s: present time on the monotonic clock.
+    """
+
+    def __init__(
+        self, kept: KeptParts, stats: Iterable[TargetStats], now_s: float
+    ) -> None:
+        super().__init__()
+        self._kept = kept
+        self._now = {s.target.name: s.estimate(now_s) for s in stats}
+
+    def sent(
+        self,
+        stats: TargetStats,
+        parts: Sequence[PromptPart],
+        size: RequestSize,
+        now_s: float,
+    ) -> None:
+        """Ignore a request."""
+
+    def kept_tokens(
+        self,
+        parts: Sequence[PromptPart],
+        estimates: Mapping[str, TargetEstimate],
+        now_s: float,
+    ) -> dict[str, float]:
+        """Return how many tokens of a prompt targets hold, by their names."""
+        known = {n: e for n, e in self._now.items() if n in estimates}
+        return self._kept.kept_tokens(parts, known, now_s)
+
+
 @attrs.frozen
 class Option:
     """A target that may get a request, as far as the choice needs it.
--- a/wigeonfall/policy/targets/load_balancer.py
+++ b/wigeonfall/policy/targets/load_balancer.py
@@ -12,6 +12,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
 
 import attrs
 
@@ -112,6 +113,12 @@
         """Return the statistics of some targets."""
         return [self._stats[name] for name in names if name in self._stats]
 
+    def frozen_values(self) -> Iterator[object]:
+        """Yield values of its state that never change."""
+        for stats in self._stats.values():
+            yield stats.target
+            yield from stats.peers
+
     def all_stats(self) -> tuple[TargetStats, ...]:
         """Return the statistics of all targets."""
         return tuple(self._stats.values())
@@ -338,33 +345,36 @@
             if e.stats.backoff_until_s <= now_s
         ):
             return None
-        return prefer_holder(
-            [
-                (e, self._option(e, size, unread(e), budget))
-                for e in in_time or candidates
-            ],
-            budget.goal_s,
+        options = self.options(
+            in_time or candidates, size, budget, kept_tokens
         )
+        return prefer_holder(options, budget.goal_s)
+
+    def options(
+        self,
+        estimates: Iterable[TargetEstimate],
+        size: RequestSize,
+        budget: TimeBudget,
+        kept_tokens: Callable[[str], float],
+    ) -> list[tuple[TargetEstimate, Option]]:
+        """Return targets with what is expected of a request there.
+
+        The arguments are those of choose.
+        """
+        options = []
+        for estimate in estimates:
+            kept = kept_tokens(estimate.stats.target.name)
+            unread = size.without(kept)
+            first_s = estimate.first_s(unread)
+            cost_s = self._cost(estimate, first_s, unread, budget)
+            options.append((estimate, Option(first_s, cost_s, kept)))
+        return options
 
     def _changed(self, name: str) -> TargetStats | None:
         """Return the statistics of a target that are about to change."""
         self._estimates.pop(name, None)
         return self._stats.get(name)
 
-    def _option(
-        self,
-        estimate: TargetEstimate,
-        size: RequestSize,
-        unread: RequestSize,
-        budget: TimeBudget,
-    ) -> Option:
-        first_s = estimate.first_s(unread)
-        return Option(
-            first_s,
-            self._cost(estimate, first_s, unread, budget),
-            size.prompt_tokens - unread.prompt_tokens,
-        )
-
     def _cost(
         self,
         estimate: TargetEstimate,
