Estimate kept parts only where a service declares its memory

Requests were also placed by kept parts where nothing says how much a target holds, from an assumed size. Services that do not declare their memory are served as before now. The page of `wigeonfall place` holds the parts of the instance that it asks rather than a function for each.

--- a/tests/policy/test_kept_parts.py
+++ b/tests/policy/test_kept_parts.py
@@ -182,6 +182,12 @@
     assert load.run((first, last), late_s + 0.1)[1] == 0.0
 
 
+def test_nothing_is_held_where_no_memory_is_declared():
+    load = Load(memory_tokens=None)
+    load.run(HOT, 2.0)
+    assert load.run(HOT, 2.1)[1] == 0.0
+
+
 def test_targets_that_are_gone_leave_nothing_behind():
     load = Load()
     for number in range(100):
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -228,33 +228,18 @@
         """Return pages that answer questions of operators."""
         context = place_page.PlaceContext(
             names=self.adapter.header_names,
-            data_center=self._settings.instance.data_center,
-            index=lambda: self._cluster_state.routing_index,
+            instance=self._settings.instance,
+            cluster_state=self._cluster_state,
+            part_watch=self._part_watch,
+            quotas=self._customer_quotas,
+            rollouts=self._rollouts,
+            scheduler=self._scheduler,
+            slot_client=self._slot_client,
+            peers=self._peers,
             leaving=lambda: self._leaving,
-            hold=self._part_watch.hold,
-            would_refuse=self._customer_quotas.would_refuse,
-            allows=self._rollouts.allows,
-            rehearse=self._scheduler.rehearse,
-            arbiter=lambda: (
-                self._slot_client.arbiter,
-                self._slot_client.arbiter_address,
-            ),
-            instances=self._peers.addresses_by_data_center,
-            inputs=self._inputs,
         )
         return {place_page.PATH: lambda call: place_page.answer(context, call)}
 
-    def _inputs(self, now_s: float) -> dict[str, Any]:
-        """Return what decisions rest on besides targets, and its age."""
-        index = self._cluster_state.routing_index
-        return {
-            'instance': self._settings.instance.name,
-            'table_version': index.table.version if index else 0,
-            'store_reachable': self._cluster_state.store_reachable,
-            'watches_store': self._watches,
-            'peers': self._peers.ages_ms(now_s),
-        }
-
     def set_settings(self, settings: ForwardingSettings) -> None:
         """Apply changed settings."""
         if settings.platform != self._settings.platform:
--- a/wigeonfall/forwarding/place_page.py
+++ b/wigeonfall/forwarding/place_page.py
@@ -17,20 +17,23 @@
 
 from ..model.routing import KeyHolder
 from ..model.routing import Route
-from ..policy.room.rehearsal import Rehearsal
 from ..policy.room.rehearsal import TargetScore
-from ..policy.room.token_quota import Charge
-from ..policy.room.token_quota import OverLimit
-from ..policy.room.waiting import PendingRequest
 from ..policy.routing import RoutingIndex
-from ..policy.targets.quarantine import Hold
+from ..settings import InstanceSettings
 from .calls import Call
+from .cluster_state import ClusterState
+from .customer_quotas import CustomerQuotas
 from .final_answers import SHUTDOWN_RETRY_S
 from .header_names import HeaderNames
+from .part_watch import PartWatch
+from .peers import Peers
 from .pending_requests import make_charge
 from .pending_requests import make_pending
+from .rollouts import Rollouts
 from .routed_request import route_call
 from .routed_request import RoutedRequest
+from .scheduler import Scheduler
+from .slot_client import SlotClient
 
 PATH = b'/place'
 KEY_HEADER = b'customer-key'  # keys do not belong into paths
@@ -63,30 +66,27 @@
 
     Attributes:
         names: header names.
-        data_center: data centre of this instance.
-        index: returns the routing table in force, or None.
+        instance: name and data centre of this instance.
+        cluster_state: the routing table and the targets in force.
+        part_watch: tells which requests must not be sent.
+        quotas: limits of customers.
+        rollouts: tells which targets may get a request, by their versions.
+        scheduler: scheduler of this instance.
+        slot_client: knows the arbiter in use.
+        peers: the peers of this instance.
         leaving: returns whether this instance is shutting down.
-        hold: returns why a request must not be sent, or None.
-        would_refuse: returns whether a customer's limit refuses a charge.
-        allows: returns whether a target may get a request, by its name.
-        rehearse: returns what would become of a waiting request.
-        arbiter: returns the name and the address of the arbiter in use, ''
-            for none.
-        instances: returns addresses of instances, by data centre.
-        inputs: returns what is known besides, and how old that is.
     """
 
     names: HeaderNames
-    data_center: str
-    index: Callable[[], RoutingIndex | None]
+    instance: InstanceSettings
+    cluster_state: ClusterState
+    part_watch: PartWatch
+    quotas: CustomerQuotas
+    rollouts: Rollouts
+    scheduler: Scheduler
+    slot_client: SlotClient
+    peers: Peers
     leaving: Callable[[], bool]
-    hold: Callable[[RoutedRequest], Hold | None]
-    would_refuse: Callable[[Charge, float], OverLimit | None]
-    allows: Callable[[RoutedRequest, str], bool]
-    rehearse: Callable[[str, PendingRequest, float], Rehearsal]
-    arbiter: Callable[[], tuple[str, str]]
-    instances: Callable[[float], Mapping[str, list[str]]]
-    inputs: Callable[[float], Mapping[str, Any]]
 
 
 def answer(context: PlaceContext, call: Call) -> tuple[int, bytes]:
@@ -102,7 +102,7 @@
 
 def _place(context: PlaceContext, call: Call, now_s: float) -> dict[str, Any]:
     asked = _parameters(call)
-    index = context.index()
+    index = context.cluster_state.routing_index
     if index is None:
         raise PlaceError('this instance has no configuration yet')
     _check_data_center(context, asked.get('data_center'), now_s)
@@ -120,7 +120,7 @@
         'service': request.service,
         'customer': request.customer.name if request.customer else '',
         'rank': request.rank,
-        'inputs': context.inputs(now_s),
+        'inputs': _inputs(context, now_s),
     }
     return told | _decide(context, request, asked.get('retry') == '1', now_s)
 
@@ -128,25 +128,25 @@
 def _decide(
     context: PlaceContext, request: RoutedRequest, is_retry: bool, now_s: float
 ) -> dict[str, Any]:
-    hold = context.hold(request)
+    hold = context.part_watch.hold(request)
     if hold is not None:
         reason = f'prompt part {hold.part} crashed targets'
         return _refused(503, reason, hold.left_s)
-    name, address = context.arbiter()
-    if name:
+    arbiter = context.slot_client.arbiter
+    if arbiter:
         return {
             'outcome': 'elsewhere',
-            'reason': f'{name} places the requests of this instance',
-            'ask': address,
+            'reason': f'{arbiter} places the requests of this instance',
+            'ask': context.slot_client.arbiter_address,
         }
     pending = make_pending(
         request,
         f'{REQUEST_ID}/{request.id}',
         is_retry,
-        lambda target: context.allows(request, target),
+        lambda target: context.rollouts.allows(request, target),
         now_s,
     )
-    rehearsal = context.rehearse(request.service, pending, now_s)
+    rehearsal = context.scheduler.rehearse(request.service, pending, now_s)
     told: dict[str, Any] = {
         'targets': [_score(s) for s in rehearsal.scores[:MAX_TARGETS]],
         'targets_known': len(rehearsal.scores),
@@ -155,7 +155,7 @@
     over = None
     if charge is not None:
         charge = attrs.evolve(charge, has_room=rehearsal.has_room)
-        over = context.would_refuse(charge, now_s)
+        over = context.quotas.would_refuse(charge, now_s)
     if over is not None:
         reason = (
             f'customer over its limit: {request.tokens:.0f} more than'
@@ -176,6 +176,17 @@
     }
 
 
+def _inputs(context: PlaceContext, now_s: float) -> dict[str, Any]:
+    """Return what decisions rest on besides targets, and its age."""
+    index = context.cluster_state.routing_index
+    return {
+        'instance': context.instance.name,
+        'table_version': index.table.version if index else 0,
+        'store_reachable': context.cluster_state.store_reachable,
+        'peers': context.peers.ages_ms(now_s),
+    }
+
+
 def _parameters(call: Call) -> dict[str, str]:
     query = call.path.partition(b'?')[2].decode('latin-1')
     try:
@@ -191,17 +202,18 @@
 def _check_data_center(
     context: PlaceContext, asked: str | None, now_s: float
 ) -> None:
-    if asked in (None, context.data_center):
+    own = context.instance.data_center
+    if asked in (None, own):
         return
-    instances = context.instances(now_s)
+    instances = context.peers.addresses_by_data_center(now_s)
     if asked not in instances:
-        known = ', '.join(sorted({context.data_center, *instances}))
+        known = ', '.join(sorted({own, *instances}))
         raise PlaceError(
             f'no instance in data centre {asked!r} is heard; known: {known}'
         )
     raise PlaceError(
-        f'this instance is in data centre {context.data_center!r}; ask'
-        f' {instances[asked][0]} for {asked!r}'
+        f'this instance is in data centre {own!r}; ask {instances[asked][0]}'
+        f' for {asked!r}'
     )
 
 
--- a/wigeonfall/policy/targets/kept_parts.py
+++ b/wigeonfall/policy/targets/kept_parts.py
@@ -24,7 +24,6 @@
 from .target_stats import TargetEstimate
 from .target_stats import TargetStats
 
-DEFAULT_MEMORY_TOKENS = 100_000.0  # of a target that does not declare it
 SURE_SHARE = 0.5  # of its memory; what was used before may be gone
 MAX_AGE_S = 60.0  # other requests of which nothing is known add up
 MAX_PARTS = 2048  # known of one target
@@ -79,7 +78,7 @@
 
     Args:
         memory_tokens: returns how many tokens a target of a service holds,
-            None if that is unknown.
+            None if it does not declare that; nothing counts as held then.
     """
 
     def __init__(
@@ -105,6 +104,9 @@
             now_s: present time on the monotonic clock.
         """
         name = stats.target.name
+        if self._memory_tokens(stats.target.service) is None:
+            self.forget(name)
+            return
         memory = self._memories.get(name)
         if memory is None or not memory.is_valid(stats):
             self.forget(name)
@@ -190,9 +192,7 @@
         return kept
 
     def _room(self, memory: _Memory) -> float:
-        total = self._memory_tokens(memory.stats.target.service)
-        if total is None:
-            total = DEFAULT_MEMORY_TOKENS
+        total = self._memory_tokens(memory.stats.target.service) or 0.0
         return max(1.0, total - memory.running_tokens)
 
     def _evict(self, memory: _Memory) -> None:
