--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -14,6 +14,7 @@
 from . import internal_pages
 from ..model.routing import CallerLimits
 from ..model.target import Target
+from . import place_page
 from ..policy.room import resend_budget
 from ..policy.room import token_quota
 from ..policy.targets.cold_targets import PacedShare
@@ -36,6 +37,7 @@
 from .cluster_state import ClusterState
 from .exchange import ConnectionPool
 from .internal_pages import Page
+from .internal_pages import QuestionPage
 from .observations import Observations
 from .part_watch import PartWatch
 from .peer_news import NewsExchange
@@ -230,6 +232,22 @@
         """Return pages with snapshots of the store, for peers."""
         return internal_pages.snapshot_pages(self._cluster_state.view)
 
+    def question_pages(self) -> dict[bytes, QuestionPage]:
+        """Return pages that answer questions of operators."""
+        context = place_page.PlaceContext(
+            names=self.adapter.header_names,
+            instance=self._settings.instance,
+            cluster_state=self._cluster_state,
+            part_watch=self._part_watch,
+            quotas=self._customer_quotas,
+            rollouts=self._rollouts,
+            scheduler=self._scheduler,
+            slot_client=self._slot_client,
+            peers=self._peers,
+            leaving=lambda: self._leaving,
+        )
+        return {place_page.PATH: lambda call: place_page.answer(context, call)}
+
     def set_settings(self, settings: ForwardingSettings) -> None:
         """Apply changed settings."""
         if settings.platform != self._settings.platform:
--- a/wigeonfall/policy/targets/kept_parts.py
+++ b/wigeonfall/policy/targets/kept_parts.py
@@ -24,7 +24,6 @@
 from .target_stats import TargetEstimate
 from .target_stats import TargetStats
 
-DEFAULT_MEMORY_TOKENS = 100_000.0  # of a target that does not declare it
 SURE_SHARE = 0.5  # of its memory; what was used before may be gone
 MAX_AGE_S = 60.0  # other requests of which nothing is known add up
 MAX_PARTS = 32_768  # of all targets; about 12 MB
@@ -79,7 +78,7 @@
 
     Args:
         memory_tokens: returns how many tokens a target of a service holds,
-            None if that is unknown.
+            None if it does not declare that; nothing counts as held then.
     """
 
     def __init__(
@@ -105,6 +104,9 @@
             now_s: present time on the monotonic clock.
         """
         name = stats.target.name
+        if self._memory_tokens(stats.target.service) is None:
+            self.forget(name)
+            return
         memory = self._memories.get(name)
         if memory is None or not memory.is_valid(stats):
             self.forget(name)
@@ -190,9 +192,7 @@
         return kept
 
     def _room(self, memory: _Memory) -> float:
-        total = self._memory_tokens(memory.stats.target.service)
-        if total is None:
-            total = DEFAULT_MEMORY_TOKENS
+        total = self._memory_tokens(memory.stats.target.service) or 0.0
         return max(1.0, total - memory.running_tokens)
 
     def _evict(self, memory: _Memory, now_s: float) -> None:
@@ -216,6 +216,42 @@
             del self._holders[part_id]
 
 
+class HeldAtOnce(KeptParts):
+    """What targets hold at one moment, without learning of requests.
+
+    Args:
+        kept: the parts that targets hold.
+        stats: statistics of the targets.
+        now_s: present time on the monotonic clock.
+    """
+
+    def __init__(
+        self, kept: KeptParts, stats: Iterable[TargetStats], now_s: float
+    ) -> None:
+        super().__init__()
+        self._kept = kept
+        self._now = {s.target.name: s.estimate(now_s) for s in stats}
+
+    def sent(
+        self,
+        stats: TargetStats,
+        parts: Sequence[PromptPart],
+        size: RequestSize,
+        now_s: float,
+    ) -> None:
+        """Ignore a request."""
+
+    def kept_tokens(
+        self,
+        parts: Sequence[PromptPart],
+        estimates: Mapping[str, TargetEstimate],
+        now_s: float,
+    ) -> dict[str, float]:
+        """Return how many tokens of a prompt targets hold, by their names."""
+        known = {n: e for n, e in self._now.items() if n in estimates}
+        return self._kept.kept_tokens(parts, known, now_s)
+
+
 @attrs.frozen
 class Option:
     """A target that may get a request, as far as the choice needs it.
