--- a/wigeonfall/policy/targets/load_balancer.py
+++ b/wigeonfall/policy/targets/load_balancer.py
@@ -126,6 +126,7 @@
         for stats in self._stats.values():
             yield stats.target
             yield from stats.peers
+        yield self.cold.share_of
 
     def all_stats(self) -> tuple[TargetStats, ...]:
         """Return the statistics of all targets."""
