Bound what a process holds for callers by one account of its memory

Each connection kept its limits, all together had none: bodies were held in three copies (the bytes that arrive, the request to the target, the transport's buffer), pipelined requests and parsed header lines were read without regard to the rest, a body or an answer could stay without progress for ever, and connections were taken until no descriptor was left.

policy/memory.py counts bytes by kind, for each connection, against a share of the machine's memory. An announced body is reserved before it is read. Where there is no room, connections without progress are closed, then the largest request of the largest address; else the request is refused as not run. Bodies stay in the parts that were read and go to targets as these read them.

--- a/tests/test_merged_events.py
+++ b/tests/test_merged_events.py
@@ -5,6 +5,7 @@
 from wigeonfall.events import Event
 from wigeonfall.merged_events import MERGE_S
 from wigeonfall.merged_events import MergedEvents
+from wigeonfall.merged_events import MOST_CALLERS
 
 
 def make_merged():
@@ -74,3 +75,14 @@
     merged.flush(float('inf'))
     count = 1 + sum(f.get('repeated', 0) for _, f in recorded)
     assert count == 2000
+
+
+def test_many_addresses_of_callers_are_recorded_together():
+    recorded = []
+    merged = MergedEvents(lambda event, **fields: recorded.append(fields))
+    for number in range(3 * MOST_CALLERS):
+        merged.record(Event.CALLER_CLOSED, caller=str(number), cause='c')
+    merged.flush(float('inf'))
+    assert len(recorded) <= MOST_CALLERS + 2
+    told = sum(fields.get('repeated', 1) for fields in recorded)
+    assert told == 3 * MOST_CALLERS
--- a/wigeonfall/forwarding/attempt.py
+++ b/wigeonfall/forwarding/attempt.py
@@ -153,6 +153,7 @@
         target.address,
         request.id.encode('latin-1'),
         data,
+        body=request.call.body,
         new_connection=not request.route.repeatable,
         now_s=now_s,
     )
--- a/wigeonfall/forwarding/caller_server.py
+++ b/wigeonfall/forwarding/caller_server.py
@@ -13,18 +13,29 @@
 from typing import Any
 
 import attrs
-import httptools
 
 from ..model.routing import CallerLimits
+from ..policy.memory import Cause
+from ..policy.memory import MemoryAccount
+from .caller_memory import CallerMemory
+from .caller_memory import ConnectionState
+from .caller_memory import PENDING_BYTES
 from .calls import Call
+from .calls import Headers
 from .calls import Reply
-from .framing import FramingBudget
 from .framing import READ_BYTES
+from .request_reader import RequestReader
 
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
-_MAX_WRITE_BUFFER_BYTES = 256 << 10  # above, reading from targets pauses
+_MAX_WRITE_BUFFER_BYTES = 64 << 10  # above, reading from targets pauses
 MAX_PENDING_CALLS = 16  # that a caller sends before earlier answers
-REQUEST_LINE_BYTES = 1 << 10  # and separators, beside the limit on headers
+NO_ROOM_RETRY_S = 1.0  # callers without progress are closed after that time
+# Of what is refused before it was read, by status.
+_HEADERS: dict[int, Headers] = {
+    503: ((b'Retry-After', b'%.2f' % NO_ROOM_RETRY_S),),
+    413: (),
+}
+LINGER_S = 0.5  # to discard the rest of a refused request
 HandleCall = Callable[[Call, Reply], Awaitable[None]]
 
 
@@ -38,6 +49,9 @@
         closing: returns whether to close connections after an answer.
         connections: the open connections.
         read_buffer: memory that they read into.
+        account: the memory that the process holds for others.
+        on_closed: called when a connection is closed or a request refused
+            for its memory: address of the caller, cause, bytes held.
     """
 
     handle: HandleCall
@@ -47,17 +61,18 @@
     read_buffer: bytearray = attrs.field(
         factory=lambda: bytearray(READ_BYTES), repr=False
     )
+    account: MemoryAccount = attrs.field(factory=MemoryAccount, repr=False)
+    on_closed: Callable[[str, Cause, int], None] = lambda *_: None
 
 
 class CallerConnection(asyncio.BufferedProtocol):
-    """A connection of a caller."""
+    """A connection of a caller; one that is half-closed counts as closed."""
 
     def __init__(self, context: ServerContext) -> None:
         self._context = context
         self._read_buffer = memoryview(context.read_buffer)
-        self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
-        self._pending_calls: collections.deque[tuple[Call, bool]] = (
+        self._pending_calls: collections.deque[tuple[Call, bool, int]] = (
             collections.deque()
         )
         self._reading_paused = False
@@ -66,10 +81,12 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._disconnected = False
-        self._rejected = False
-        self._started_s: float | None = None
-        self._framing = FramingBudget(context.limits().header_bytes)
-        self._reset_message()
+        self._rejection: int | None = None  # status, once a call is rejected
+        self._written_bytes = 0
+        self._memory = CallerMemory(
+            context.account, self._state, self.close_for
+        )
+        self._reader = RequestReader(context.limits, self._memory, self)
 
     @property
     def busy(self) -> bool:
@@ -79,32 +96,39 @@
         """
         return (
             self._task is not None
-            or self._started_s is not None
-            or self._unsent_bytes() > 0
+            or self._reader.started_s is not None
+            or self._unsent_bytes > 0
         )
 
+    @property
+    def _unsent_bytes(self) -> int:
+        if self._transport is None or self._disconnected:
+            return 0
+        return self._transport.get_write_buffer_size()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to wait for the first request."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=_MAX_WRITE_BUFFER_BYTES)
         self._context.connections.add(self)
+        peer = transport.get_extra_info('peername')
         self._start_timer(self._context.limits().idle_timeout_s)
+        cause = self._memory.open(str(peer[0]) if peer else '')
+        if cause is not None:
+            self.close_for(cause)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request of a caller that disconnected."""
         del exc
         self._disconnected = True
         self._context.connections.discard(self)
+        self._memory.close()
         self._writable.set()
         self._stop_timer()
         if self._task is not None:
             self._task.cancel()
 
-    def eof_received(self) -> bool:
-        """Treat a half-closed connection as closed by the caller."""
-        return False
-
     def pause_writing(self) -> None:
         """Make writers wait until the write buffer has room."""
         self._writable.clear()
@@ -123,86 +147,55 @@
         self.data_received(self._read_buffer[:nbytes])
 
     def data_received(self, data: bytes | memoryview) -> None:
-        """Parse bytes of requests."""
-        if self._rejected:
+        """Read requests."""
+        if self._rejection is not None or self._disconnected:
             return
-        if self._started_s is None and self._task is None:
+        if self._reader.started_s is None and self._task is None:
             self._start_timer(self._context.limits().header_timeout_s)
-        self._framing.most_bytes = (
-            self._context.limits().header_bytes + REQUEST_LINE_BYTES
-        )
-        self._framing.received(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(http.HTTPStatus.BAD_REQUEST)
-        except httptools.HttpParserError:
-            self._reject(http.HTTPStatus.BAD_REQUEST)
-        if self._framing.exceeded:
-            status = http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-            self._reject(status)
-
-    def on_message_begin(self) -> None:
-        """Start a new request."""
-        self._reset_message()
-        self._started_s = time.monotonic()
-
-    def on_url(self, url: bytes) -> None:
-        """Add a part of the path."""
-        self._url += url
-        self._count_header(len(url))
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header."""
-        self._headers.append((name.lower(), value))
-        self._count_header(len(name) + len(value) + 4)
-
-    def on_headers_complete(self) -> None:
+        self._reader.feed(data)
+        if self._task is not None and (
+            self._pending_calls or self._reader.started_s is not None
+        ):
+            self._pause_if_ahead()
+
+    def head_read(self, expects: bool) -> None:
         """Answer `Expect: 100-continue`."""
-        self._framing.completed()
         self._stop_timer()
-        expects = any(
-            n == b'expect' and v.lower() == b'100-continue'
-            for n, v in self._headers
-        )
-        if expects and not self._rejected:
+        if expects:
             self.write(_CONTINUE)
 
-    def on_body(self, body: bytes) -> None:
-        """Add a part of the body, within the limit."""
-        self._framing.found_body(len(body))
-        self._body_bytes += len(body)
-        if self._body_bytes > self._context.limits().body_bytes:
-            self._reject(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-            return
-        self._body += body
-
-    def on_message_complete(self) -> None:
+    def request_read(self, call: Call, close: bool, size: int) -> None:
         """Queue the request to be answered after earlier ones."""
-        self._framing.completed()
-        if self._rejected or self._started_s is None:
-            return
-        call = Call(
-            self._parser.get_method(),
-            self._url,
-            tuple(self._headers),
-            bytes(self._body),
-            self._started_s,
-        )
-        close = not self._parser.should_keep_alive()
-        self._started_s = None
-        self._pending_calls.append((call, close))
+        self._pending_calls.append((call, close, size))
         if self._task is None:
             self._start_next()
-        elif len(self._pending_calls) >= MAX_PENDING_CALLS:
-            assert self._transport is not None
-            self._transport.pause_reading()
-            self._reading_paused = True
+
+    def refuse(self) -> None:
+        """Refuse a request for which there is no room; it was not run."""
+        self._report(Cause.NO_MEMORY)
+        self.reject(http.HTTPStatus.SERVICE_UNAVAILABLE)
+
+    def reject(self, status: int) -> None:
+        """Reject a request with an error and close the connection."""
+        if self._rejection is not None or self._disconnected:
+            return
+        self._rejection = status
+        self._reader.stop()
+        if self._task is None:
+            self._close_with(status)
 
     def write(self, data: bytes) -> None:
         """Write bytes unless the caller has disconnected."""
-        if self._transport is not None and not self._disconnected:
-            self._transport.write(data)
+        if self._transport is None or self._disconnected:
+            return
+        transport = self._transport
+        transport.write(data)
+        self._written_bytes += len(data)
+        unsent_bytes = transport.get_write_buffer_size()
+        if (unsent_bytes or self._memory.unread) and not (
+            self._memory.written(unsent_bytes)
+        ):
+            self.close_for(Cause.NO_MEMORY)
 
     async def drain(self) -> None:
         """Wait until the write buffer has room."""
@@ -212,46 +205,88 @@
         """Whether to close the connection after an answer."""
         return self._context.closing()
 
+    def close_for(self, cause: Cause) -> None:
+        """Close the connection, or refuse its incomplete request."""
+        if self._disconnected or self._transport is None:
+            return
+        self._report(cause)
+        refusable = (
+            self._reader.started_s is not None
+            and self._task is None
+            and not self._unsent_bytes
+            and cause is not Cause.NO_DESCRIPTORS
+        )
+        if not refusable:
+            self._drop()
+        elif cause is Cause.TIMED_OUT:
+            self.reject(http.HTTPStatus.REQUEST_TIMEOUT)
+        else:
+            self.reject(http.HTTPStatus.SERVICE_UNAVAILABLE)
+
     def close_idle(self) -> None:
         """Close the connection if no request is in progress."""
         if not self.busy and self._transport is not None:
             self._transport.close()
 
-    def _reset_message(self) -> None:
-        self._url = b''
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._body = bytearray()
-        self._body_bytes = 0
-        self._header_bytes = 0
-        self._started_s = None
-
-    def _count_header(self, size: int) -> None:
-        self._header_bytes += size
-        if self._header_bytes > self._context.limits().header_bytes:
-            status = http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-            self._reject(status)
-
-    def _reject(self, status: http.HTTPStatus) -> None:
-        """Reject a request with an error and close the connection."""
-        if self._rejected:
-            return
-        self._rejected = True
-        self._started_s = None
-        if self._task is None:
-            self._close_with(status)
+    def _state(self) -> ConnectionState:
+        unsent_bytes = self._unsent_bytes
+        return ConnectionState(
+            moved_bytes=self._reader.received_bytes
+            + self._written_bytes
+            - unsent_bytes,
+            unsent_bytes=unsent_bytes,
+            arriving=self._reader.started_s is not None,
+            answering=self._task is not None,
+        )
+
+    def _report(self, cause: Cause) -> None:
+        holder = self._memory.holder
+        self._context.on_closed(holder.address, cause, holder.total_bytes)
 
     def _close_with(self, status: int) -> None:
-        Reply(self, True).send(status, (), b'')
-        if self._transport is not None:
+        self._stop_timer()
+        headers = _HEADERS.get(status, ())
+        Reply(self, True).send(status, headers, b'')
+        if self._disconnected:
+            return
+        if status in _HEADERS:
+            # Closed with unread bytes, it could be reset before the caller
+            # has read the answer.
+            self._resume_reading()
+            asyncio.get_running_loop().call_later(LINGER_S, self._drop)
+        else:
             self._close()
 
-    def _start_next(self) -> None:
-        call, close = self._pending_calls.popleft()
-        if self._reading_paused and not self._pending_calls:
+    def _pause_if_ahead(self) -> None:
+        """Stop reading if enough requests wait for earlier answers."""
+        ahead = (
+            len(self._pending_calls) >= MAX_PENDING_CALLS
+            or self._memory.ahead_bytes + self._reader.arriving_bytes
+            > PENDING_BYTES
+        )
+        if ahead and not self._reading_paused and self._rejection is None:
+            assert self._transport is not None
+            self._transport.pause_reading()
+            self._reading_paused = True
+
+    def _resume_reading(self) -> None:
+        if self._reading_paused and not self._disconnected:
             assert self._transport is not None
             self._reading_paused = False
             self._transport.resume_reading()
+
+    def _start_next(self) -> None:
+        call, close, size = self._pending_calls.popleft()
+        self._memory.start(size)
+        if not self._pending_calls:
+            self._resume_reading()
         self._stop_timer()
+        account = self._context.account
+        if not account.begin_answer(self._memory.holder, time.monotonic()):
+            self._memory.finish()
+            self._report(Cause.NO_DESCRIPTORS)
+            self.reject(http.HTTPStatus.SERVICE_UNAVAILABLE)
+            return
         self._task = asyncio.get_running_loop().create_task(
             self._answer(call, close)
         )
@@ -260,33 +295,39 @@
         reply = Reply(self, close)
         try:
             await self._context.handle(call, reply)
+            del call
+            self._memory.finish()
             if reply.complete:
                 await self._flush()
         finally:
             self._task = None
+            self._context.account.end_answer(self._memory.holder)
+            self._memory.finish()
             if not self._disconnected:
                 self._finish_request(reply)
 
-    def _unsent_bytes(self) -> int:
-        if self._transport is None or self._disconnected:
-            return 0
-        return self._transport.get_write_buffer_size()
-
     async def _flush(self) -> None:
         """Wait until the write buffer has room; abort if the caller stalls."""
         while not self._writable.is_set():
-            unsent_bytes = self._unsent_bytes()
+            unsent_bytes = self._unsent_bytes
             try:
                 async with asyncio.timeout(
                     self._context.limits().idle_timeout_s
                 ):
                     await self.drain()
             except TimeoutError:
-                if self._unsent_bytes() >= unsent_bytes:
-                    self._abort()
+                if self._unsent_bytes >= unsent_bytes:
+                    self._drop()
                     return
 
-    def _abort(self) -> None:
+    def _drop(self) -> None:
+        """Close the connection at once, and hold nothing for it."""
+        if self._disconnected:
+            return
+        self._disconnected = True
+        self._reader.stop()
+        self._memory.close()
+        self._pending_calls.clear()
         if self._transport is not None:
             self._transport.abort()
 
@@ -294,9 +335,9 @@
         """Close the connection once all bytes have left, in bounded time."""
         assert self._transport is not None
         self._transport.close()
-        if self._unsent_bytes():
-            loop = asyncio.get_running_loop()
-            loop.call_later(self._context.limits().idle_timeout_s, self._abort)
+        if self._unsent_bytes:
+            idle_timeout_s = self._context.limits().idle_timeout_s
+            asyncio.get_running_loop().call_later(idle_timeout_s, self._drop)
 
     def _finish_request(self, reply: Reply) -> None:
         assert self._transport is not None
@@ -306,15 +347,21 @@
             self._close()
         elif self._pending_calls:
             self._start_next()
-        elif self._rejected:
-            self._close_with(http.HTTPStatus.BAD_REQUEST)
-        elif self._started_s is None:
-            self._start_timer(self._context.limits().idle_timeout_s)
+        elif self._rejection is not None:
+            self._close_with(self._rejection)
+        else:
+            self._resume_reading()
+            limits = self._context.limits()
+            if self._reader.started_s is None:
+                self._start_timer(limits.idle_timeout_s)
+            elif not self._reader.head_complete:
+                self._start_timer(limits.header_timeout_s)
 
     def _start_timer(self, delay_s: float) -> None:
         self._stop_timer()
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(delay_s, self._on_timeout)
+        self._timer = asyncio.get_running_loop().call_later(
+            delay_s, self._on_timeout
+        )
 
     def _stop_timer(self) -> None:
         if self._timer is not None:
@@ -324,8 +371,8 @@
     def _on_timeout(self) -> None:
         if self._task is not None or self._transport is None:
             return
-        if self._started_s is not None:
-            self._reject(http.HTTPStatus.REQUEST_TIMEOUT)
+        if self._reader.started_s is not None:
+            self.reject(http.HTTPStatus.REQUEST_TIMEOUT)
         else:
             self._transport.close()
 
--- a/wigeonfall/forwarding/calls.py
+++ b/wigeonfall/forwarding/calls.py
@@ -5,8 +5,13 @@
 
 import attrs
 
+from .bodies import Body
+from .bodies import make_body
+
 _REASON_PHRASES = {status.value: status.phrase for status in http.HTTPStatus}
 
+_JOINED_BYTES = 16 << 10  # of a body that is sent with its head
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
@@ -25,7 +30,7 @@
     method: bytes
     path: bytes
     headers: Headers
-    body: bytes
+    body: Body = attrs.field(converter=make_body)
     arrived_s: float
 
     def header(self, name: bytes) -> bytes:
@@ -69,6 +74,11 @@
             headers: headers except those of framing and connection.
             length: length of the body in bytes, or None for a chunked body.
         """
+        self._connection.write(self._start(status, headers, length))
+
+    def _start(
+        self, status: int, headers: Headers, length: int | None
+    ) -> bytes:
         self._close = self._close or self._connection.closing()
         self._chunked = length is None
         lines = [_status_line(status)]
@@ -81,7 +91,7 @@
             lines.append(b'Connection: close\r\n')
         lines.append(b'\r\n')
         self.started = True
-        self._connection.write(b''.join(lines))
+        return b''.join(lines)
 
     async def write(self, data: bytes) -> None:
         """Write a part of the body; waits while the write buffer is full."""
@@ -98,8 +108,12 @@
 
     def send(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a complete answer."""
-        self.start(status, headers, len(body))
-        self._connection.write(body)
+        head = self._start(status, headers, len(body))
+        if len(body) <= _JOINED_BYTES:
+            self._connection.write(head + body)
+        else:
+            self._connection.write(head)
+            self._connection.write(body)
         self.complete = True
 
 
--- a/wigeonfall/forwarding/exchange.py
+++ b/wigeonfall/forwarding/exchange.py
@@ -13,12 +13,15 @@
 
 from ..errors import WigeonfallError
 from ..model import address as address_module
+from ..policy.memory import MemoryAccount
 from .answer_buffers import AnswerBuffers
 from .answer_buffers import HeldAnswer
+from .bodies import Body
 from .framing import READ_BYTES
 from .target_connection import Response
 from .target_connection import ResponseHead
 from .target_connection import TargetConnection
+from .target_connection import WRITE_BUFFER_BYTES
 
 CONNECT_TIMEOUT_S = 0.4  # a few round trips between data centres
 IDLE_TIMEOUT_S = 3.0
@@ -53,6 +56,7 @@
         id_header: bytes,
         request_id: bytes,
         held: HeldAnswer,
+        sending: asyncio.Task[None] | None = None,
     ) -> None:
         self._connection = connection
         self._pool = pool
@@ -61,6 +65,7 @@
         self._request_id = request_id
         self._ambiguous = connection.used
         self._response: Response | None = None
+        self._sending = sending
         self.held = held
 
     @property
@@ -124,6 +129,9 @@
         clean = len(connection.responses) == 1 and connection.keep_alive
         assert connection.transport is not None
         flushed = connection.transport.get_write_buffer_size() == 0
+        if self._sending is not None:
+            flushed = flushed and self._sending.done()
+            self._sending.cancel()
         if complete and clean and flushed and not connection.ended:
             assert self._response is not None and self._response.head
             self._pool.add_idle(self._address, connection, self._response.head)
@@ -164,13 +172,19 @@
 
     Args:
         id_header: header in which targets echo the request identifier.
+        account: what the process holds for others.
     """
 
-    def __init__(self, id_header: bytes) -> None:
+    def __init__(
+        self, id_header: bytes, account: MemoryAccount | None = None
+    ) -> None:
+        self._account = account or MemoryAccount()
+        self._open: set[TargetConnection] = set()
+        self._account.target_sockets = lambda: len(self._open)
         self._id_header = id_header
         self._idle: dict[str, list[TargetConnection]] = {}
         self._read_buffer = bytearray(READ_BYTES)
-        self._buffers = AnswerBuffers()
+        self._buffers = AnswerBuffers(self._account)
 
     async def send(
         self,
@@ -179,15 +193,17 @@
         data: bytes,
         new_connection: bool,
         now_s: float,
+        body: Body | None = None,
     ) -> Exchange:
         """Send a request.
 
         Args:
             address: "host:port" of the target.
             request_id: identifier that the target echoes.
-            data: the encoded request.
+            data: the encoded request, or its head.
             new_connection: whether not to reuse an idle connection.
             now_s: current time on the monotonic clock.
+            body: its body; a long one is sent as the target takes it.
 
         Raises:
             ExchangeError: no connection was made, so nothing was sent.
@@ -200,7 +216,15 @@
         assert connection.transport is not None
         connection.idle = False
         connection.is_head_request = data.startswith(b'HEAD ')
-        connection.transport.write(data)
+        sending = None
+        if body is not None and body.size > WRITE_BUFFER_BYTES:
+            connection.transport.write(data)
+            sending = asyncio.get_running_loop().create_task(
+                connection.write_parts(body.parts())
+            )
+        else:
+            parts = body.parts() if body is not None else ()
+            connection.transport.write(b''.join((data, *parts)))
         return Exchange(
             connection,
             self,
@@ -208,6 +232,7 @@
             self._id_header,
             request_id,
             self._buffers.answer(),
+            sending,
         )
 
     def add_idle(
@@ -255,7 +280,7 @@
             host, port = address_module.parse(address)
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: TargetConnection(self._read_buffer),
+                    lambda: TargetConnection(self._read_buffer, self._open),
                     host,
                     port,
                 )
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -14,6 +14,8 @@
 from . import internal_pages
 from ..model.routing import CallerLimits
 from ..model.target import Target
+from ..policy import memory
+from ..policy.memory import Cause
 from ..policy.room import resend_budget
 from ..policy.room import token_quota
 from ..policy.targets.load_balancer import LoadBalancer
@@ -85,8 +87,11 @@
         self._customer_quotas = customer_quotas.CustomerQuotas(
             self._quotas, self._cluster_state, self._topology
         )
+        self.account = memory.make_account(
+            settings.machine.memory_mb, settings.machine.descriptors
+        )
         self._connections = ConnectionPool(
-            adapter.header_names.request_id.lower()
+            adapter.header_names.request_id.lower(), self.account
         )
         self._scheduler = Scheduler(
             self._balancer,
@@ -207,6 +212,15 @@
                 detail=repr(error),
             )
 
+    def record_closed(self, caller: str, cause: Cause, held: int) -> None:
+        """Record that a caller was closed or refused for its memory."""
+        self.record(
+            Event.CALLER_CLOSED,
+            caller=caller,
+            cause=cause.value,
+            held_bytes=held,
+        )
+
     def limits(self) -> CallerLimits:
         """Return the current limits on requests of callers."""
         index = self._cluster_state.routing_index
@@ -247,6 +261,7 @@
     def run_maintenance(self, now_s: float) -> None:
         """Drop expired connections and peers, and update what they affect."""
         self._connections.close_idle(now_s)
+        self.account.sweep(now_s, self.limits().idle_timeout_s)
         self._record_peer_changes(now_s)
         self._update_watching(now_s)
         self._arbiter.drop_silent_clients(now_s)
--- a/wigeonfall/forwarding/process.py
+++ b/wigeonfall/forwarding/process.py
@@ -24,6 +24,7 @@
 from ..merged_events import MergedEvents
 from ..metrics import counting
 from ..metrics import Metrics
+from ..metrics import show_account
 from . import settings as settings_module
 from .caller_server import ServerContext
 from .instance import Instance
@@ -63,6 +64,7 @@
     merged = MergedEvents(recorder.record)
     record = counting(merged.record, Metrics(registry))
     instance = Instance(settings, adapter, record)
+    show_account(instance.account, registry)
     process = _Process(path, settings, instance, registry, merged.flush)
     try:
         asyncio.run(process.run())
@@ -135,6 +137,8 @@
             handle=self._instance.handle,
             limits=self._instance.limits,
             closing=self._stopping.is_set,
+            account=self._instance.account,
+            on_closed=self._instance.record_closed,
         )
 
     async def _listen(self, context: ServerContext) -> list[asyncio.Server]:
--- a/wigeonfall/forwarding/routed_request.py
+++ b/wigeonfall/forwarding/routed_request.py
@@ -141,7 +141,7 @@
     resume_after: str,
     now_s: float,
 ) -> bytes:
-    """Return the HTTP request to send to a target.
+    """Return the head of the HTTP request to send to a target.
 
     Args:
         request: the request.
@@ -180,10 +180,10 @@
     if resume_after:
         value = resume_after.encode('latin-1')
         lines.append(b'%s: %s\r\n' % (names.last_event_id, value))
-    if call.body or call.header(b'content-length') or call.method == b'POST':
-        lines.append(b'Content-Length: %d\r\n' % len(call.body))
+    size = call.body.size
+    if size or call.header(b'content-length') or call.method == b'POST':
+        lines.append(b'Content-Length: %d\r\n' % size)
     lines.append(b'\r\n')
-    lines.append(call.body)
     return b''.join(lines)
 
 
--- a/wigeonfall/forwarding/target_connection.py
+++ b/wigeonfall/forwarding/target_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Iterable
 import http
 import socket
 
@@ -19,6 +20,7 @@
 KEEPALIVE_PROBE_COUNT = 2
 MAX_FRAMING_BYTES = 64 << 10  # several times the heads of sound targets
 MAX_LENGTH_BYTES = 1 << 62  # the parser takes no larger ones
+WRITE_BUFFER_BYTES = 32 << 10  # above, sending a body pauses
 MAX_RESPONSES = 16  # to one request, with interim and unasked ones
 # Handled in one turn of the event loop, together with what is read in it.
 _MAX_BUFFER_BYTES = 16 << 10
@@ -70,6 +72,7 @@
 
     Args:
         read_buffer: memory to read into, shared by the connections of a loop.
+        open_connections: set that this one is in while it is open.
 
     Attributes:
         is_head_request: whether the answer has no body.
@@ -78,7 +81,12 @@
         error: why no further bytes of an answer are valid, or None.
     """
 
-    def __init__(self, read_buffer: bytearray | None = None) -> None:
+    def __init__(
+        self,
+        read_buffer: bytearray | None = None,
+        open_connections: 'set[TargetConnection] | None' = None,
+    ) -> None:
+        self._open = set() if open_connections is None else open_connections
         self._read_buffer = memoryview(read_buffer or bytearray(READ_BYTES))
         self.is_head_request = False
         self.used = False
@@ -95,13 +103,34 @@
         self._change: asyncio.Future[None] | None = None
         self._buffered_bytes = 0
         self._paused = False
+        self._writable = asyncio.Event()
+        self._writable.set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket options that detect an unreachable peer."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        self._open.add(self)
+        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         _set_options(transport.get_extra_info('socket'))
 
+    def pause_writing(self) -> None:
+        """Make the sender of a body wait until the write buffer has room."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Let the sender of a body continue."""
+        self._writable.set()
+
+    async def write_parts(self, parts: Iterable[bytes | bytearray]) -> None:
+        """Write parts of a body as fast as the target takes them."""
+        assert self.transport is not None
+        for part in parts:
+            await self._writable.wait()
+            if self.ended or self.transport.is_closing():
+                return
+            self.transport.write(part)
+
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the memory for the next read."""
         del sizehint
@@ -141,6 +170,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the end, and an error if an answer is incomplete."""
         self.ended = True
+        self._open.discard(self)
+        self._writable.set()
         last = self.responses[-1] if self.responses else None
         if last is None or not last.complete:
             self.error = self.error or f'connection lost: {exc}'
--- a/wigeonfall/merged_events.py
+++ b/wigeonfall/merged_events.py
@@ -16,6 +16,7 @@
 from .recorder import Record
 
 MERGE_S = 1.0  # a reader follows one line a second of a kind
+MOST_CALLERS = 100  # told apart at once; clients choose their addresses
 _MERGED = frozenset(
     {
         Event.OBJECT_UNREADABLE,
@@ -28,10 +29,11 @@
         Event.MESSAGE_UNREADABLE,
         Event.MESSAGE_NOT_SENT,
         Event.REGISTRATION_FAILED,
+        Event.CALLER_CLOSED,
     }
 )
 # What tells events of a kind apart; other fields are details.
-_SUBJECTS = ('target', 'peer', 'kind', 'object')
+_SUBJECTS = ('target', 'peer', 'kind', 'object', 'caller', 'cause')
 
 _Key: TypeAlias = tuple[Event, tuple[Any, ...]]
 
@@ -71,6 +73,8 @@
         now_s = time.monotonic()
         subjects = tuple(str(fields.get(name)) for name in _SUBJECTS)
         with self._lock:
+            if event is Event.CALLER_CLOSED:
+                subjects = self._bounded(event, subjects)
             repeats = self._repeats.get((event, subjects))
             if repeats is not None and now_s - repeats.recorded_s < MERGE_S:
                 repeats.count += 1
@@ -81,6 +85,15 @@
             fields = {**fields, 'repeated': repeats.count}
         self._record(event, **fields)
 
+    def _bounded(
+        self, event: Event, subjects: tuple[Any, ...]
+    ) -> tuple[Any, ...]:
+        """Return what tells an event apart, () beyond a number of them."""
+        if (event, subjects) in self._repeats:
+            return subjects
+        count = sum(1 for key, _ in self._repeats if key is event)
+        return subjects if count < MOST_CALLERS else ()
+
     def flush(self, now_s: float) -> None:
         """Record the counts that no later event told of.
 
--- a/wigeonfall/metrics.py
+++ b/wigeonfall/metrics.py
@@ -1,11 +1,14 @@
 """Metrics of one instance, counted from its events."""
 
+import functools
 import math
 from typing import Any
 
 import prometheus_client
 
 from .events import Event
+from .policy.memory import Kind
+from .policy.memory import MemoryAccount
 from .recorder import Record
 
 MOST_LABELS = 100  # routes and targets come and go over weeks
@@ -45,6 +48,12 @@
             'Prompt parts that crashed targets and are not released.',
             registry=registry,
         )
+        self.callers_closed = prometheus_client.Counter(
+            'wigeonfall_callers_closed',
+            'Callers closed or refused for their memory, by cause.',
+            ['cause'],
+            registry=registry,
+        )
         self.target_rate_limit = prometheus_client.Gauge(
             'wigeonfall_target_rate_limit',
             'Requests a second that a target accepts from all instances.',
@@ -95,6 +104,33 @@
         return name
 
 
+def show_account(
+    account: MemoryAccount, registry: prometheus_client.CollectorRegistry
+) -> None:
+    """Add gauges of what a process holds for others, by kind.
+
+    Args:
+        account: the memory that is held.
+        registry: gets the gauges.
+    """
+    held = prometheus_client.Gauge(
+        'wigeonfall_held_bytes',
+        'Memory held for callers and answers, by kind.',
+        ['kind'],
+        registry=registry,
+    )
+    for kind in Kind:
+        held.labels(kind.name.lower()).set_function(
+            functools.partial(account.used_bytes.__getitem__, kind)
+        )
+    most = prometheus_client.Gauge(
+        'wigeonfall_held_bytes_limit',
+        'Maximum of all kinds together.',
+        registry=registry,
+    )
+    most.set(account.limit_bytes)
+
+
 def counting(record: Record, metrics: Metrics) -> Record:
     """Return a function that records events and counts them."""
 
@@ -111,6 +147,8 @@
             _count_turned_away(metrics, fields)
         elif event is Event.ATTEMPT_FAILED:
             metrics.attempt_failures.labels(fields['kind']).inc()
+        elif event is Event.CALLER_CLOSED:
+            metrics.callers_closed.labels(fields['cause']).inc()
         elif event in (Event.PART_QUARANTINED, Event.PART_RELEASED):
             metrics.quarantined_parts.set(fields['held'])
         elif event is Event.TARGET_RATE_LIMITED:
