Let instances without an answer of a hub use their part of paced rates

Cause: an instance that still hears hubs but got no answer placed nothing at paced targets, and its requests wait in its own queue until they are refused.

Change: it has its own part, like one that hears nobody.

--- a/wigeonfall/forwarding/topology.py
+++ b/wigeonfall/forwarding/topology.py
@@ -203,8 +203,7 @@
 
         Each instance counts at the one that places its requests: the first
         hub for all that it hears, another one for its present clients. Those
-        that are not heard may be cut off and use their own part. One that
-        still hears hubs still counts at the first of them.
+        that are not heard may be cut off and use their own part.
 
         Args:
             client_count: instances that have just asked this one for places.
@@ -214,14 +213,10 @@
         instances = self._most_instances(now_s)
         placed = 1
         if self.uses_hubs(now_s):
-            live_count = len(self.peers.live(now_s))
+            placed += client_count
             is_old = now_s - self.started_s >= OWN_VIEW_AGE_S
-            if not self.is_hub(now_s):
-                placed = 0 if live_count else 1
-            elif is_old and self.knows_load(now_s):
-                placed = 1 + live_count
-            else:
-                placed = 1 + client_count
+            if is_old and self.is_hub(now_s) and self.knows_load(now_s):
+                placed = 1 + len(self.peers.live(now_s))
         return PacedShare(
             min(1.0, placed / instances),
             sum(a < own_address for a in self.peers.addresses()),
--- a/wigeonfall/policy/targets/cold_targets.py
+++ b/wigeonfall/policy/targets/cold_targets.py
@@ -113,7 +113,7 @@
     def used_per_s(self) -> float:
         """Requests a second that this instance may send."""
         per_s = self.share * _rate(self.terms, self.is_cold)
-        if per_s >= 1 or self.share <= 0:
+        if per_s >= 1:
             return per_s
         return float(self.has_cold_turn if self.is_cold else self.has_turn)
 
