Give most of a paced rate to the instances of the target's data centre

Cause: each side of a fleet in parts had the part of what it hears of the rate of every target, so that a data centre which is cut off had a third of the rate of targets that nobody else reaches.

Change: three quarters of a rate are divided among the instances in the target's data centre, the rest among all. The parts still add up to one.

--- a/wigeonfall/forwarding/peers.py
+++ b/wigeonfall/forwarding/peers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections import Counter
 import time
 from typing import Any, cast
 
@@ -162,6 +163,14 @@
             for peer in self.live(now_s)
         ]
 
+    def live_counts(self, now_s: float) -> Counter[str]:
+        """Return the number of live peers by data centre."""
+        return Counter(p.state.data_center for p in self.live(now_s))
+
+    def known_counts(self, now_s: float) -> Counter[str]:
+        """Return the number of known peers by data centre."""
+        return Counter(p.state.data_center for p in self._known(now_s))
+
     def live_data_center_share(
         self, own_data_center: str, now_s: float
     ) -> float:
--- a/wigeonfall/forwarding/topology.py
+++ b/wigeonfall/forwarding/topology.py
@@ -18,6 +18,7 @@
 UNKNOWN_INSTANCES = 100  # assumed while nobody has told their number
 REGISTERED_AGE_S = 30.0  # from the start until peers tell all instances
 OWN_VIEW_AGE_S = 3.0  # from the start until all peers were heard
+OWN_WEIGHT = 0.75  # of instances in the data centre of a target
 MOST_MEMORY_S = 120.0  # for which instances that fell silent still count
 # Least and most; a short outage ends before most instances have tried.
 HUBLESS_WATCH_DELAY_S = (1.0, 6.0)
@@ -50,6 +51,7 @@
     _hubs_chosen_s: float = float('-inf')
     _most: int = 0
     _most_s: float = float('-inf')
+    _most_in: dict[str, tuple[int, float]] = attrs.field(factory=dict)
 
     @property
     def name(self) -> str:
@@ -203,7 +205,9 @@
 
         Each instance counts at the one that places its requests: the first
         hub for all that it hears, another one for its present clients. Those
-        that are not heard may be cut off and use their own part.
+        that are not heard may be cut off and use their own part. Most of the
+        rate of a target belongs to the instances of its data centre, as these
+        reach it when data centres are cut off from each other.
 
         Args:
             client_count: instances that have just asked this one for places.
@@ -212,17 +216,43 @@
         own_address = self.settings().listen.peers_address
         instances = self._most_instances(now_s)
         placed = 1
+        parts: dict[str, float] = {}
         if self.uses_hubs(now_s):
             placed += client_count
             is_old = now_s - self.started_s >= OWN_VIEW_AGE_S
             if is_old and self.is_hub(now_s) and self.knows_load(now_s):
                 placed = 1 + len(self.peers.live(now_s))
+                parts = self._parts(placed / instances, instances, now_s)
         return PacedShare(
             min(1.0, placed / instances),
+            parts,
             sum(a < own_address for a in self.peers.addresses()),
-            instances,
         )
 
+    def _parts(
+        self, part: float, instances: int, now_s: float
+    ) -> dict[str, float]:
+        """Return the part of this side of rates, by the data centre."""
+        live = self.peers.live_counts(now_s)
+        known = self.peers.known_counts(now_s)
+        live[self.data_center] += 1
+        known[self.data_center] += 1
+        for data_center, count in known.items():
+            most, most_s = self._most_in.get(data_center, (0, 0.0))
+            if count >= most or now_s - most_s > MOST_MEMORY_S:
+                self._most_in[data_center] = (count, now_s)
+        # Those of which nothing was heard may be in any data centre.
+        most_known = sum(most for most, _ in self._most_in.values())
+        unheard = max(0, instances - most_known)
+        return {
+            data_center: min(
+                1.0,
+                OWN_WEIGHT * live[data_center] / (most + unheard)
+                + (1.0 - OWN_WEIGHT) * part,
+            )
+            for data_center, (most, _) in self._most_in.items()
+        }
+
     def _most_instances(self, now_s: float) -> int:
         """Return the most instances that were known lately."""
         count = self.peers.fleet_size(now_s)
--- a/wigeonfall/policy/targets/cold_targets.py
+++ b/wigeonfall/policy/targets/cold_targets.py
@@ -50,14 +50,14 @@
     """The part of all rates that this instance may use.
 
     Attributes:
-        part: from 0 to 1.
+        part: from 0 to 1, for targets of data centres that are not named.
+        parts: the same by the data centre of a target.
         position: its place in the order of all instances, from 0 on.
-        instances: number of all instances.
     """
 
     part: float = 1.0
+    parts: Mapping[str, float] = attrs.field(factory=dict)
     position: int = 0
-    instances: int = 1
 
 
 @attrs.frozen
@@ -81,6 +81,7 @@
 
     Attributes:
         terms: terms of its service.
+        data_center: its data centre.
         incarnation: its incarnation.
         entry_version: version of its entry.
         updated_s: time of the last update of the credit.
@@ -94,6 +95,7 @@
     """
 
     terms: ColdTerms
+    data_center: str
     incarnation: int
     entry_version: int
     updated_s: float
@@ -217,7 +219,13 @@
         return changes
 
     def _begin(self, target: Target, terms: ColdTerms, now_s: float) -> Pace:
-        pace = Pace(terms, target.incarnation, target.entry_version, now_s)
+        pace = Pace(
+            terms,
+            target.data_center,
+            target.incarnation,
+            target.entry_version,
+            now_s,
+        )
         self._apply_share(target.name, pace)
         if target.cold_s is None:
             pace.suspected_s = now_s
@@ -251,12 +259,12 @@
 
     def _apply_share(self, name: str, pace: Pace) -> None:
         share = self._share
-        pace.share = share.part
+        pace.share = share.parts.get(pace.data_center, share.part)
         # Spreads the turns evenly over any row of neighbouring instances.
         shift = xxhash.xxh64_intdigest(name.encode()) / 2**64
-        number = (share.position * GOLDEN_RATIO + shift) % 1 * share.instances
-        pace.has_turn = number < _rate(pace.terms, False)
-        pace.has_cold_turn = number < _rate(pace.terms, True)
+        turn = (share.position * GOLDEN_RATIO + shift) % 1
+        pace.has_turn = turn < pace.share * _rate(pace.terms, False)
+        pace.has_cold_turn = turn < pace.share * _rate(pace.terms, True)
 
 
 def make_terms(
