Count requests to targets that may be cold in a window

Cause: paces were a credit that grows evenly, so that a target with free slots took one request in 43 ms and others went to the next best one.

Change: the requests of the last 1.1 s count, up to 0.9 of the bound, or 1.25 of what a cold target endures. A part that grows comes into use within 2.5 s.

--- a/wigeonfall/policy/targets/cold_targets.py
+++ b/wigeonfall/policy/targets/cold_targets.py
@@ -6,14 +6,15 @@
 is full, and news of that is late. The bound holds for all instances together,
 also for those that do not hear each other.
 
-Each target of a service with a bound is therefore held to a rate at all times,
-and to a lower one while it is known to be cold. Rates are divided among the
-instances; one that places requests for others has their parts too. Where a
-part is less than a request a second, as many instances as the rate has
-requests take turns, each with one a second. Credit is hardly saved, so
-that an instance that takes over from another one does not add a burst.
+Each target of a service with a bound therefore gets no more than a number of
+requests in any second, at all times, and fewer while it is known to be cold.
+The number is divided among the instances; one that places requests for others
+has their parts too. Where a part is less than one, as many instances as the
+number take turns, each with one. A part that grows is used little by little,
+as the instance that had it before may have filled the same second.
 """
 
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -23,10 +24,13 @@
 
 from ...model.target import Target
 
-LIMIT_SHARE = 0.8  # of the bound; requests are sent some time after decisions
-BURST_SHARE = 0.07  # of the bound, that may be sent at once
+WINDOW_S = 1.1  # a second, and how much later some requests are sent
+LIMIT_SHARE = 0.9  # of the bound, as two sides may count an instance shortly
+COLD_FACTOR = 1.25  # of what a cold target endures; it crashes far above
+RAMP_S = 2.5  # in which a part that grows comes into use
 SHARE_PERIOD_S = 0.1  # far below the time after which a peer is silent
 GOLDEN_RATIO = 0.6180339887
+ROUNDING = 1e-9
 NEWS_DELAY_S = 0.5  # within which an entry may be older than a suspicion
 
 
@@ -84,12 +88,11 @@
         data_center: its data centre.
         incarnation: its incarnation.
         entry_version: version of its entry.
-        updated_s: time of the last update of the credit.
-        credit: requests that may be sent as of then.
-        share: part of the rate that this instance may use.
-        has_turn: whether it may send if its part is below a request a second,
-            while the target is warm.
-        has_cold_turn: the same while it is cold.
+        updated_s: time of the last update.
+        share: part of the number that this instance may use.
+        used_share: part that it uses, which grows slowly.
+        turn: from 0 to 1; where the part is less than a request, those with
+            the lowest may send.
         cold_until_s: when it ceases to be known as cold.
         suspected_s: when it was last taken as cold without its entry.
     """
@@ -99,12 +102,12 @@
     incarnation: int
     entry_version: int
     updated_s: float
-    credit: float = 0.0
     share: float = 0.0
-    has_turn: bool = False
-    has_cold_turn: bool = False
+    used_share: float = 0.0
+    turn: float = 0.0
     cold_until_s: float = float('-inf')
     suspected_s: float = float('-inf')
+    _sent_s: collections.deque[float] = attrs.field(factory=collections.deque)
 
     @property
     def is_cold(self) -> bool:
@@ -114,28 +117,41 @@
     @property
     def used_per_s(self) -> float:
         """Requests a second that this instance may send."""
-        per_s = self.share * _rate(self.terms, self.is_cold)
-        if per_s >= 1:
-            return per_s
-        return float(self.has_cold_turn if self.is_cold else self.has_turn)
+        return self._allowed() / WINDOW_S
 
     def room(self, now_s: float) -> float:
         """Return the number of requests that may be sent now."""
-        gained = max(0.0, now_s - self.updated_s) * self.used_per_s
-        most = max(1.0, self.share * BURST_SHARE * self.terms.most_per_s)
-        self.credit = min(most, self.credit + gained)
+        passed_s = max(0.0, now_s - self.updated_s)
         self.updated_s = max(now_s, self.updated_s)
-        return self.credit if self.used_per_s else 0.0
+        if self.used_share < self.share:
+            grown = self.used_share + self.share * passed_s / RAMP_S
+            self.used_share = min(self.share, grown)
+        sent_s = self._sent_s
+        while sent_s and sent_s[0] <= now_s - WINDOW_S:
+            sent_s.popleft()
+        return self._allowed() - len(sent_s)
 
     def count(self) -> None:
         """Count a request that is sent."""
-        self.credit -= 1
+        self._sent_s.append(self.updated_s)
 
     def set_cold(self, until_s: float, now_s: float) -> None:
         """Set when the target ceases to be known as cold."""
         self.room(now_s)
         self.cold_until_s = until_s
 
+    def set_share(self, share: float) -> None:
+        """Set the part of the number that this instance may use."""
+        self.share = share
+        self.used_share = min(self.used_share, share)
+
+    def _allowed(self) -> int:
+        """Return the number of requests that may be sent in a window."""
+        most = _most(self.terms, self.is_cold)
+        if self.share * most < 1:
+            return int(self.turn < self.share * most)
+        return int(self.used_share * most + ROUNDING)
+
 
 class ColdTargets:
     """The paces of all targets whose service has a bound.
@@ -227,6 +243,8 @@
             now_s,
         )
         self._apply_share(target.name, pace)
+        # Others had no part of a target that has just started.
+        pace.used_share = pace.share
         if target.cold_s is None:
             pace.suspected_s = now_s
             self._mark(target.name, pace, 'start', terms.longest_s, now_s)
@@ -259,12 +277,10 @@
 
     def _apply_share(self, name: str, pace: Pace) -> None:
         share = self._share
-        pace.share = share.parts.get(pace.data_center, share.part)
+        pace.set_share(share.parts.get(pace.data_center, share.part))
         # Spreads the turns evenly over any row of neighbouring instances.
         shift = xxhash.xxh64_intdigest(name.encode()) / 2**64
-        turn = (share.position * GOLDEN_RATIO + shift) % 1
-        pace.has_turn = turn < pace.share * _rate(pace.terms, False)
-        pace.has_cold_turn = turn < pace.share * _rate(pace.terms, True)
+        pace.turn = (share.position * GOLDEN_RATIO + shift) % 1
 
 
 def make_terms(
@@ -281,7 +297,7 @@
     return ColdTerms(per_s, per_s * overage + slack_requests, longest_s)
 
 
-def _rate(terms: ColdTerms, cold: bool) -> float:
-    """Return the requests a second that all instances may send."""
-    limit_per_s = LIMIT_SHARE * terms.most_per_s
-    return min(terms.per_s, limit_per_s) if cold else limit_per_s
+def _most(terms: ColdTerms, cold: bool) -> float:
+    """Return the requests that all instances may send in a window."""
+    limit = LIMIT_SHARE * terms.most_per_s
+    return min(COLD_FACTOR * terms.per_s, limit) if cold else limit
