--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -67,8 +67,11 @@
         first_ms=90,
     )
     record(Event.REQUEST_NOT_SERVED, route='r', rank=1, status=503, ran=False)
+    record(Event.REQUEST_ASSIGNED, prompt_tokens=600, kept_tokens=460)
     text = prometheus_client.generate_latest(registry).decode()
     assert 'wigeonfall_passed_on_total{route="r",' in text
     assert 'wigeonfall_wait_seconds_count{route="r"} 1.0' in text
     assert 'wigeonfall_first_seconds_count{target="t"} 1.0' in text
     assert 'status="503"' in text
+    assert 'wigeonfall_prompt_tokens_total{expected="kept"} 460.0' in text
+    assert 'wigeonfall_prompt_tokens_total{expected="read"} 140.0' in text
