Compare targets as before where none holds a part of the prompt

The choice built an option for each target of each request: 128 us became 195 us with 60 targets.

Result: tests of kept parts, the balancer and the queue pass.

--- a/wigeonfall/policy/room/waiting.py
+++ b/wigeonfall/policy/room/waiting.py
@@ -29,6 +29,7 @@
 
 from ...model.prompt import PromptPart
 from ..targets.kept_parts import HeldAtOnce
+from ..targets.kept_parts import holds_nothing
 from ..targets.kept_parts import KeptParts
 from ..targets.load_balancer import LoadBalancer
 from ..targets.load_balancer import TimeBudget
@@ -309,7 +310,9 @@
             ),
             crowded=crowded,
             short=self._is_short(pending),
-            kept_tokens=lambda name: kept.get(name, 0.0),
+            kept_tokens=(
+                (lambda name: kept.get(name, 0.0)) if kept else holds_nothing
+            ),
         )
 
     def _is_short(self, pending: PendingRequest) -> bool:
--- a/wigeonfall/policy/targets/kept_parts.py
+++ b/wigeonfall/policy/targets/kept_parts.py
@@ -248,7 +248,12 @@
         return self._kept.kept_tokens(parts, known, now_s)
 
 
-@attrs.frozen
+def holds_nothing(_name: str) -> float:
+    """Return the tokens that a target holds of a prompt that none holds."""
+    return 0.0
+
+
+@attrs.define
 class Option:
     """A target that may get a request, as far as the choice needs it.
 
@@ -280,8 +285,6 @@
     if not options:
         return None
     choice, best = min(options, key=lambda option: option[1].cost_s)
-    if not any(option.kept_tokens for _, option in options):
-        return choice
     tolerance_s = TOLERANCE_SHARE * max(0.0, goal_s)
     near = [
         (choice, option)
--- a/wigeonfall/policy/targets/load_balancer.py
+++ b/wigeonfall/policy/targets/load_balancer.py
@@ -17,6 +17,7 @@
 import attrs
 
 from ...model.target import Target
+from .kept_parts import holds_nothing
 from .kept_parts import Option
 from .kept_parts import prefer_holder
 from .moving_average import PeerAverage
@@ -294,7 +295,7 @@
         busy: Iterable[TargetEstimate] = (),
         crowded: bool = False,
         short: bool = False,
-        kept_tokens: Callable[[str], float] = lambda _name: 0.0,
+        kept_tokens: Callable[[str], float] = holds_nothing,
     ) -> TargetEstimate | None:
         """Return the open target with the lowest cost.
 
@@ -318,6 +319,8 @@
         estimates = list(estimates)
 
         def unread(estimate: TargetEstimate) -> RequestSize:
+            if kept_tokens is holds_nothing:
+                return size
             return size.without(kept_tokens(estimate.stats.target.name))
 
         if short and any(e.rate is not None for e in estimates):
@@ -345,9 +348,14 @@
             if e.stats.backoff_until_s <= now_s
         ):
             return None
-        options = self.options(
-            in_time or candidates, size, budget, kept_tokens
-        )
+        chosen_from = in_time or candidates
+        if kept_tokens is holds_nothing:
+            return min(
+                chosen_from,
+                key=lambda e: self._cost(e, e.first_s(size), size, budget),
+                default=None,
+            )
+        options = self.options(chosen_from, size, budget, kept_tokens)
         return prefer_holder(options, budget.goal_s)
 
     def options(
