Bound the bodies of calls at the threaded server of callers as well

Each of 256 threads read a body of up to 8 MiB, whatever the others held. adapters/body_room.py reads bodies in pieces within an account of their own process; a call without room is refused as not run. memory_mb of [limits] is new, with room for 19 of the largest bodies at its default.

Partial: heads, answers and one chunk that is announced as very large are still bounded by this server's own limits and its threads alone.

The new test of the threaded server answers 200 instead of 503 when the account is not asked.

--- a/tests/adapters/test_callers.py
+++ b/tests/adapters/test_callers.py
@@ -158,3 +158,46 @@
             pass
     assert _get(address)[0] == 200
     server.drain(STEP_S)
+
+
+def test_bodies_of_all_calls_are_bounded_together() -> None:
+    """Each thread held a whole body, whatever the others held."""
+    started = threading.Event()
+    release = threading.Event()
+
+    def hold(call):
+        if len(call.body) > 1 << 20:
+            started.set()
+            release.wait(30)
+        return _echo(call)
+
+    def post(size, results):
+        connection = http.client.HTTPConnection(*address, timeout=30)
+        try:
+            connection.request('POST', '/x', b'p' * size)
+            response = connection.getresponse()
+            run = response.getheader('X-Run')
+            results.append((response.status, run))
+        except OSError as error:
+            results.append((0, repr(error)))
+        connection.close()
+
+    # Its account takes one of these bodies at a time.
+    server, address = _make_server(
+        hold, body_limit_bytes=8 << 20, memory_mb=64
+    )
+    first, second, small = [], [], []
+    holding = threading.Thread(target=post, args=(8 << 20, first))
+    holding.start()
+    assert started.wait(30)
+    post(4 << 20, second)
+    post(800, small)
+    release.set()
+    holding.join()
+    # Closed with unread bytes, the refusal may be reset on its way.
+    assert second[0] == (503, 'not-run') or second[0][0] == 0
+    assert small == [(200, None)] and first == [(200, None)]
+    again = []
+    post(4 << 20, again)
+    assert again == [(200, None)]
+    server.drain(STEP_S)
--- a/tests/policy/test_memory.py
+++ b/tests/policy/test_memory.py
@@ -100,7 +100,8 @@
 
 def test_the_largest_unread_answer_is_closed_for_smaller_ones():
     site = Site()
-    crowd = site.fill('a', Kind.UNREAD, MB, 9)
+    most = memory.SHARES[Kind.UNREAD] * site.account.limit_bytes
+    crowd = site.fill('a', Kind.UNREAD, MB, int(most / MB))
     reader = site.connect('a', arriving=False)
     assert site.account.resize(reader, Kind.UNREAD, MB, 0.5)
     assert [closed in crowd for closed, _ in site.closed] == [True]
--- a/wigeonfall/adapters/callers.py
+++ b/wigeonfall/adapters/callers.py
@@ -18,9 +18,11 @@
 from cheroot import server as cheroot_server
 from cheroot import wsgi
 
+from ..policy.memory import make_account
 from ..ports.callers import Call
 from ..ports.callers import HandleCall
 from . import tls
+from .body_room import BodyRoom
 
 _LOGGER = logging.getLogger('wigeonfall.callers')
 _IDLE_TIMEOUT_S = 10
@@ -31,6 +33,12 @@
     b'HTTP/1.1 503 Service Unavailable\r\nX-Run: not-run\r\n'
     b'Retry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n'
 )
+_NO_ROOM = (
+    ('X-Run', 'not-run'),
+    ('Retry-After', '1'),
+    ('Connection', 'close'),
+    ('Content-Length', '0'),
+)
 _BACKLOG_CONNECTIONS = 1024
 
 
@@ -46,6 +54,7 @@
         connections: connections that may be open at once.
         read_timeout_s: time for a caller to send a whole call.
         tls_adapter: TLS for the port, or None.
+        memory_mb: memory of the machine, in 2**20 bytes.
     """
 
     address: str
@@ -55,6 +64,7 @@
     connections: int = 1000
     read_timeout_s: float = 30.0
     tls_adapter: tls.LazyHandshake | None = None
+    memory_mb: float = 1024.0
 
 
 class _Connection(cheroot_server.HTTPConnection):
@@ -97,7 +107,12 @@
         host, _, port = settings.address.rpartition(':')
         super().__init__(
             (host, int(port)),
-            _make_application(self, handle, settings.body_limit_bytes),
+            _make_application(
+                self,
+                handle,
+                settings.body_limit_bytes,
+                BodyRoom(make_account(settings.memory_mb)),
+            ),
             numthreads=settings.threads,
             timeout=_IDLE_TIMEOUT_S,
             request_queue_size=_BACKLOG_CONNECTIONS,
@@ -203,14 +218,33 @@
 
 
 def _make_application(
-    server: CallersServer, handle: HandleCall, body_limit_bytes: int
+    server: CallersServer,
+    handle: HandleCall,
+    body_limit_bytes: int,
+    room: BodyRoom,
 ) -> Callable[..., Iterable[bytes]]:
     def application(
         environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
-        call = _read_call(environ, body_limit_bytes)
+        holder = room.admit(
+            environ.get('REMOTE_ADDR', ''),
+            int(environ.get('CONTENT_LENGTH') or 0),
+            server.serving.connection.cut,
+        )
+        body = None
+        if holder is not None:
+            source = environ['wsgi.input']
+            body = room.read(holder, source, body_limit_bytes + 1)
         server.call_read()
-        answer = handle(call)
+        if holder is None or body is None:
+            if holder is not None:
+                room.release(holder)
+            start_response('503 Service Unavailable', list(_NO_ROOM))
+            return ()
+        try:
+            answer = handle(_make_call(environ, body))
+        finally:
+            room.release(holder)
         status = http.HTTPStatus(answer.status)
         start_response(f'{status.value} {status.phrase}', list(answer.headers))
         return answer.body
@@ -218,7 +252,7 @@
     return application
 
 
-def _read_call(environ: dict[str, Any], body_limit_bytes: int) -> Call:
+def _make_call(environ: dict[str, Any], body: bytes) -> Call:
     path = environ['REQUEST_URI']
     headers = {
         name.removeprefix('HTTP_').replace('_', '-').lower(): value
@@ -231,5 +265,5 @@
         method=environ['REQUEST_METHOD'],
         path=path,
         headers=headers,
-        body=environ['wsgi.input'].read(body_limit_bytes + 1),
+        body=body,
     )
--- a/wigeonfall/forwarding/exchange.py
+++ b/wigeonfall/forwarding/exchange.py
@@ -112,14 +112,14 @@
         Args:
             max_bytes: limit of this body, beside that of all together.
         """
-        body = bytearray()
+        body = Body()
         while part := await self.read():
-            body += part
-            if len(body) > max_bytes:
+            body.append(part)
+            if body.size > max_bytes:
                 return None
-            if not self.held.resize(len(body)):
+            if not self.held.resize(body.size):
                 return None
-        return bytes(body)
+        return b''.join(body.parts())
 
     def release(self) -> None:
         """Return the connection to the pool if reusable, else close it."""
--- a/wigeonfall/policy/memory.py
+++ b/wigeonfall/policy/memory.py
@@ -43,8 +43,8 @@
 SHARES = {
     Kind.HEADS: 0.25,
     Kind.BODIES: 0.5,
-    Kind.ANSWERS: 0.4,
-    Kind.UNREAD: 0.4,
+    Kind.ANSWERS: 0.3,
+    Kind.UNREAD: 0.3,
     Kind.CONNECTIONS: 0.5,
 }
 
@@ -332,7 +332,9 @@
             other.close(Cause.NO_DESCRIPTORS)
 
 
-def make_account(memory_mb: float, descriptors: int) -> MemoryAccount:
+def make_account(
+    memory_mb: float, descriptors: float = float('inf')
+) -> MemoryAccount:
     """Return the account of a process.
 
     Args:
--- a/wigeonfall/serving/servers.py
+++ b/wigeonfall/serving/servers.py
@@ -46,6 +46,7 @@
         tls_adapter=tls.make_http_adapter(
             files.callers_certificate_file, files.callers_key_file
         ),
+        memory_mb=settings.limits.memory_mb,
     )
     return callers.CallersServer(listen, handle)
 
--- a/wigeonfall/settings.py
+++ b/wigeonfall/settings.py
@@ -72,6 +72,7 @@
     header_limit_bytes: int = 32 << 10
     callers_threads: int = 256
     connections: int = 1000
+    memory_mb: float = 1024.0
 
 
 @attrs.frozen
@@ -161,6 +162,7 @@
     'header_limit_bytes': ini.in_range(1024, 1 << 20),
     'callers_threads': ini.in_range(1, 10_000),
     'connections': ini.in_range(1, 100_000),
+    'memory_mb': ini.in_range(64, 1_000_000),
     'settle_s': ini.in_range(0, _MOST_WAIT_S),
     'quiet_s': ini.in_range(0, _MOST_WAIT_S),
     'level': check_level,
