Search all connections for idle ones at most ten times a second

At the limit of sockets each new connection looked at thousands of others that could not be closed, some milliseconds each time. After a search that found none, the next ones are refused for 0.1 s without another.

--- a/tests/policy/test_memory.py
+++ b/tests/policy/test_memory.py
@@ -145,3 +145,29 @@
     site.account.put(holders[0], Kind.REQUESTS, 100)
     assert not site.account.resize(holders[0], Kind.HEADS, 100, 0.0)
     assert site.account.used_bytes == [0] * len(Kind)
+
+
+def test_a_flood_of_connections_does_not_search_all_each_time():
+    """Each new connection looked at thousands that could not be closed."""
+    site = Site()
+    searches = []
+
+    def connect(now_s):
+        holder = Holder(
+            'a',
+            searches.append,
+            lambda _cause: None,
+            now_s,
+            answering=True,
+            idle=False,
+        )
+        refused = site.account.open(holder, now_s) is not None
+        if refused:
+            site.account.forget(holder)
+        return refused
+
+    assert not any(connect(0.0) for _ in range(180))
+    assert all(connect(1.0 + n / 1000) for n in range(90))
+    assert len(searches) == 181
+    assert connect(1.0 + memory.SEARCH_PAUSE_S)
+    assert len(searches) == 2 * 181
--- a/wigeonfall/policy/memory.py
+++ b/wigeonfall/policy/memory.py
@@ -25,6 +25,8 @@
 FILES = 200  # descriptors that are no sockets
 CALLER_SOCKETS_SHARE = 0.9  # of all sockets; the rest reaches targets
 CLOSED_AT_ONCE = 8  # connections that make room for further sockets
+# After a search of all connections that found none to close.
+SEARCH_PAUSE_S = 0.1
 
 
 class Kind(enum.IntEnum):
@@ -109,6 +111,7 @@
     answering: int = 0
     target_sockets: Callable[[], int] = lambda: 0
     _swept_s: float = 0.0
+    _search_from_s: float = 0.0
     _holders: dict[Holder, None] = attrs.field(factory=dict)
     _counted: dict[Holder, None] = attrs.field(factory=dict)
 
@@ -316,6 +319,8 @@
         return max(candidates, key=lambda o: o.total_bytes, default=None)
 
     def _close_idle(self, holder: Holder, now_s: float) -> None:
+        if now_s < self._search_from_s:
+            return
         for other in tuple(self._holders):
             other.refresh(now_s)
         idle = [
@@ -328,6 +333,8 @@
             )
         ]
         idle.sort(key=lambda other: (not other.idle, other.progress_s))
+        if not idle:
+            self._search_from_s = now_s + SEARCH_PAUSE_S
         for other in idle[:CLOSED_AT_ONCE]:
             other.close(Cause.NO_DESCRIPTORS)
 
