Learn what targets hold only where all requests are placed

In a fleet without an arbiter each instance knows its own sends alone, neither where others sent a session nor what that pushed out. Such fleets place by load alone again; arbiters and single instances learn.

--- a/tests/forwarding/test_topology.py
+++ b/tests/forwarding/test_topology.py
@@ -56,6 +56,18 @@
     assert not topology.watches_store(0.0)
 
 
+@pytest.mark.parametrize(
+    ('peers', 'capacity', 'expected'),
+    [(0, 1.0, True), (5, 0.5, False), (30, 0.5, True), (30, 2.0, False)],
+)
+def test_one_instance_places_all_requests_alone_or_as_the_arbiter(
+    peers, capacity, expected
+):
+    topology = make_topology()
+    receive(topology, [f'n{n:02}' for n in range(peers)], capacity=capacity)
+    assert topology.places_all(0.0) is expected
+
+
 def test_the_fleet_size_is_learned_from_hubs():
     topology = make_topology()
     receive(topology, ('a', 'b', 'c', 'd'), capacity=2.0, instances=70)
--- a/tests/policy/test_kept_parts.py
+++ b/tests/policy/test_kept_parts.py
@@ -189,6 +189,16 @@
     assert load.run(HOT, 2.1)[1] == 0.0
 
 
+def test_nothing_is_learned_while_others_place_requests_too():
+    load = Load(('a',))
+    load.run(HOT, 2.0)
+    load.kept.set_learning(False)
+    assert [load.run(HOT, t)[1] for t in (2.1, 2.2)] == [0.0, 0.0]
+    load.kept.set_learning(True)
+    load.run(HOT, 2.3)
+    assert load.run(HOT, 2.4)[1] == 3000
+
+
 def test_targets_that_are_gone_leave_nothing_behind():
     load = Load()
     for number in range(100):
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -274,8 +274,9 @@
         self._quotas.keep_peers(self._peers.known_names(now_s))
         self._cluster_state.refresh(now_s)
         self._balancer.set_peer_loads(self._peers.loads(now_s))
-        self._scheduler.keep_targets(
-            stats.target.name for stats in self._balancer.all_stats()
+        self._scheduler.update_kept(
+            (stats.target.name for stats in self._balancer.all_stats()),
+            self._topology.places_all(now_s),
         )
         rates = self._balancer.rates
         rates.keep_peers(self._peers.known_names(now_s))
--- a/wigeonfall/forwarding/scheduler.py
+++ b/wigeonfall/forwarding/scheduler.py
@@ -244,8 +244,14 @@
             now_s,
         )
 
-    def keep_targets(self, names: Iterable[str]) -> None:
-        """Forget what all targets but the named ones hold."""
+    def update_kept(self, names: Iterable[str], places_all: bool) -> None:
+        """Forget what targets hold that are gone or that others send to.
+
+        Args:
+            names: targets that there are.
+            places_all: whether this instance places all requests there.
+        """
+        self._kept.set_learning(places_all)
         self._kept.keep_targets(names)
 
     def dispatch_all(self) -> None:
--- a/wigeonfall/forwarding/topology.py
+++ b/wigeonfall/forwarding/topology.py
@@ -108,6 +108,12 @@
         hubs = self.hubs(now_s)
         return bool(hubs) and hubs[0].name == self.name
 
+    def places_all(self, now_s: float) -> bool:
+        """Return whether this instance places the requests of all others."""
+        if not self.uses_hubs(now_s):
+            return self.peers.fleet_size(now_s) == 1
+        return self.knows_load(now_s)
+
     def _choose_hubs(self, now_s: float) -> None:
         own = Candidate(
             self.name,
--- a/wigeonfall/policy/targets/kept_parts.py
+++ b/wigeonfall/policy/targets/kept_parts.py
@@ -85,6 +85,7 @@
         self, memory_tokens: Callable[[str], float | None] = lambda _: None
     ) -> None:
         self._memory_tokens = memory_tokens
+        self._learns = True
         self._memories: dict[str, _Memory] = {}
         self._holders: dict[str, set[str]] = {}
 
@@ -104,7 +105,8 @@
             now_s: present time on the monotonic clock.
         """
         name = stats.target.name
-        if self._memory_tokens(stats.target.service) is None:
+        unknown = self._memory_tokens(stats.target.service) is None
+        if unknown or not self._learns:
             self.forget(name)
             return
         memory = self._memories.get(name)
@@ -112,9 +114,7 @@
             self.forget(name)
             memory = _Memory(stats, stats.target.version)
             self._memories[name] = memory
-        # Peers that send requests there are taken to send as long ones.
-        others = max(1.0, stats.outstanding / max(1, stats.own_requests))
-        memory.written_tokens += others * size.prompt_tokens
+        memory.written_tokens += size.prompt_tokens
         memory.running_tokens += size.prompt_tokens + size.answer_tokens
         for part in parts:
             memory.uses[part.id] = _Use(memory.written_tokens, now_s)
@@ -137,6 +137,15 @@
             for part_id in memory.uses:
                 self._drop_holder(part_id, name)
 
+    def set_learning(self, learns: bool) -> None:
+        """Set whether it learns; forget all if not.
+
+        What others send to targets is not known, nor what that pushes out.
+        """
+        self._learns = learns
+        if not learns:
+            self.keep_targets(())
+
     def keep_targets(self, names: Iterable[str]) -> None:
         """Forget all targets but the named ones."""
         for name in self._memories.keys() - frozenset(names):
