Let requests that can be in time go first, with floors for kinds

Cause: the order of scarce room was rank first, then in time, returning, late. A late request of the first rank went before one of the next rank that could be in time, a returning caller passed for one in time by its new arrival though its goal runs from its first request, and nothing limited what the first rank or one customer takes.

Change: requests that can meet their goal, with a margin, go first over all ranks (order.py). Kinds below 0.8 of the mean share of engine time go before others (kind_shares.py, [shares] floor). Within a class, a customer that used more than its part by its rate goes last (customer_shares.py). Callers that were told to return are recognised by kind, customer, prompt parts and counts (bookings.py) and keep their first goal; at their time they go before all that cannot be in time ([shares] booked). A refused caller that returns no longer counts as lost. PendingRequest has a module of its own; the package says in which order its decisions are asked.

test_short_requests_go_first expected a late request of rank 0 before one of rank 1 in time; that order is what changes.

--- a/tests/forwarding/test_arbiter.py
+++ b/tests/forwarding/test_arbiter.py
@@ -22,9 +22,9 @@
 from wigeonfall.model.target import Target
 from wigeonfall.policy import arbiters
 from wigeonfall.policy.arbiters import Candidate
+from wigeonfall.policy.room.pending import PendingRequest
 from wigeonfall.policy.room.token_quota import Charge
 from wigeonfall.policy.room.token_quota import OverLimit
-from wigeonfall.policy.room.waiting import PendingRequest
 from wigeonfall.policy.targets.load_balancer import LoadBalancer
 from wigeonfall.policy.targets.target_stats import RequestSize
 
--- a/tests/forwarding/test_rate_limited_targets.py
+++ b/tests/forwarding/test_rate_limited_targets.py
@@ -17,7 +17,7 @@
 from wigeonfall.forwarding.scheduler import Scheduler
 from wigeonfall.forwarding.scheduler import Slot
 from wigeonfall.model.target import Target
-from wigeonfall.policy.room.waiting import PendingRequest
+from wigeonfall.policy.room.pending import PendingRequest
 from wigeonfall.policy.targets.load_balancer import LoadBalancer
 from wigeonfall.policy.targets.target_stats import PeerLoad
 from wigeonfall.policy.targets.target_stats import RequestSize
--- a/wigeonfall/forwarding/arbiter.py
+++ b/wigeonfall/forwarding/arbiter.py
@@ -12,9 +12,9 @@
 import attrs
 
 from ..events import Event
+from ..policy.room.pending import PendingRequest
 from ..policy.room.token_quota import Charge
 from ..policy.room.token_quota import OverLimit
-from ..policy.room.waiting import PendingRequest
 from ..policy.targets.load_balancer import LoadBalancer
 from ..policy.targets.target_stats import RequestSize
 from ..recorder import Record
--- a/wigeonfall/forwarding/call_handler.py
+++ b/wigeonfall/forwarding/call_handler.py
@@ -9,9 +9,9 @@
 
 from . import attempt as attempt_module
 from ..policy.room import patience
+from ..policy.room.pending import PendingRequest
 from ..policy.room.token_quota import Charge
 from ..policy.room.token_quota import OverLimit
-from ..policy.room import waiting
 from ..policy import routing
 from ..recorder import Record
 from .attempt import AttemptContext
@@ -224,7 +224,7 @@
             is_retry,
         )
         self._sequence += 1
-        pending = waiting.PendingRequest(
+        pending = PendingRequest(
             id=f'{request.id}/{self._sequence}',
             rank=request.rank,
             is_retry=is_retry,
--- a/wigeonfall/forwarding/customer_quotas.py
+++ b/wigeonfall/forwarding/customer_quotas.py
@@ -37,6 +37,12 @@
             holder, charge, self.topology.quota_visibility(now_s), now_s
         )
 
+    def rate_of(self, customer: str) -> float:
+        """Return the token rate of a customer, 0 if it has no limit."""
+        index = self.cluster_state.routing_index
+        holder = index.by_name.get(customer) if index else None
+        return holder.tokens_per_s if holder else 0.0
+
     def refund(self, customer: str, tokens: float) -> None:
         """Refund the tokens of a request that did not run."""
         self.quotas.refund(customer, tokens, time.monotonic())
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -15,6 +15,7 @@
 from ..model.routing import CallerLimits
 from ..model.target import Target
 from ..policy.room import resend_budget
+from ..policy.room.terms import RoomTerms
 from ..policy.room import token_quota
 from ..policy.targets.load_balancer import LoadBalancer
 from ..policy.targets.quarantine import Quarantines
@@ -93,6 +94,7 @@
             lambda service: self._cluster_state.target_names.get(service, ()),
             lambda: self._peers.loads(time.monotonic()),
             self._on_load_change,
+            self._room_terms,
         )
         self._rollouts = Rollouts(
             trials=trials,
@@ -333,6 +335,12 @@
         """Record that a target's address now belongs to another target."""
         self._balancer.record_broken_connection(target.name, time.monotonic())
 
+    def _room_terms(self) -> RoomTerms:
+        shares = self._settings.shares
+        return RoomTerms(
+            shares.floor, shares.booked, self._customer_quotas.rate_of
+        )
+
     def _on_load_change(self) -> None:
         self._link.send_soon()
 
--- a/wigeonfall/forwarding/scheduler.py
+++ b/wigeonfall/forwarding/scheduler.py
@@ -9,7 +9,8 @@
 import attrs
 
 from ..model.target import Target
-from ..policy.room.waiting import PendingRequest
+from ..policy.room.pending import PendingRequest
+from ..policy.room.terms import RoomTerms
 from ..policy.room.waiting import RequestQueue
 from ..policy.targets.load_balancer import LoadBalancer
 from ..policy.targets.target_stats import PeerLoad
@@ -74,6 +75,7 @@
         targets_of: returns the names of the targets that serve a service.
         peers: returns the outstanding and waiting requests of peers.
         on_load_change: called when the load of this instance changes.
+        terms: returns the terms on which requests share scarce room.
     """
 
     def __init__(
@@ -82,11 +84,13 @@
         targets_of: Callable[[str], tuple[str, ...]],
         peers: Callable[[], Iterable[PeerLoad]],
         on_load_change: Callable[[], None],
+        terms: Callable[[], RoomTerms] = RoomTerms,
     ) -> None:
         self.balancer = balancer
         self._targets_of = targets_of
         self._peers = peers
         self._on_load_change = on_load_change
+        self._terms = terms
         self._queues: dict[str, RequestQueue] = {}
         self._futures: dict[str, asyncio.Future[Decision]] = {}
         self._dispatch_timers: dict[str, asyncio.TimerHandle] = {}
@@ -128,7 +132,10 @@
             A future of a slot, which must be released, or of the refusal. If
             it is cancelled, the request must be withdrawn.
         """
-        queue = self._queues.setdefault(service, RequestQueue(self.balancer))
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = RequestQueue(self.balancer, terms=self._terms)
+            self._queues[service] = queue
         future = asyncio.get_running_loop().create_future()
         self._futures[pending.id] = future
         future.add_done_callback(lambda _: self._futures.pop(pending.id, None))
--- a/wigeonfall/forwarding/settings.py
+++ b/wigeonfall/forwarding/settings.py
@@ -9,6 +9,8 @@
 from .. import ini
 from .. import settings
 from ..configuration_file import check_name
+from ..policy.room import expected_room
+from ..policy.room import kind_shares
 from ..policy.room import resend_budget
 from ..policy.room import token_quota
 from ..settings import InstanceSettings
@@ -106,6 +108,21 @@
     slack_tokens: float = 0.0
 
 
+@attrs.frozen
+class SharesSettings:
+    """How requests share scarce room.
+
+    Attributes:
+        floor: part of the mean share served over the kinds of a service
+            below which a kind goes first; 0 for none.
+        booked: share of the slots kept for callers that were told to return;
+            0 for none.
+    """
+
+    floor: float = kind_shares.DEFAULT_FLOOR
+    booked: float = expected_room.BOOKED_SHARE
+
+
 @attrs.frozen
 class ForwardingSettings:
     """The settings of one process."""
@@ -119,6 +136,7 @@
     machine: MachineSettings
     log: LogSettings
     quota: QuotaSettings = QuotaSettings()
+    shares: SharesSettings = SharesSettings()
 
     @property
     def seed_addresses(self) -> tuple[str, ...]:
@@ -147,6 +165,8 @@
     'window_s': ini.in_range(0.1, 86_400),
     'overage': ini.in_range(0, 100),
     'slack_tokens': ini.in_range(0, 1_000_000_000),
+    'floor': ini.in_range(0, 1),
+    'booked': ini.in_range(0, 1),
     'level': settings.check_level,
 }
 
--- a/wigeonfall/forwarding/slot_client.py
+++ b/wigeonfall/forwarding/slot_client.py
@@ -16,9 +16,9 @@
 from ..model.prompt import PromptPart
 from ..policy import arbiters
 from ..policy.arbiters import Candidate
+from ..policy.room.pending import PendingRequest
 from ..policy.room.token_quota import Charge
 from ..policy.room.token_quota import OverLimit
-from ..policy.room.waiting import PendingRequest
 from ..recorder import Record
 from .arbiter_messages import ArbiterDecisions
 from .arbiter_messages import ClientState
--- a/wigeonfall/policy/room/expected_room.py
+++ b/wigeonfall/policy/room/expected_room.py
@@ -30,17 +30,24 @@
         """Return the wait behind a number of seconds of slot time."""
         return ahead_s / max(1.0, self.slots)
 
-    def book(self, work_s: float, most_s: float, now_s: float) -> float:
+    def book(
+        self,
+        work_s: float,
+        most_s: float,
+        now_s: float,
+        share: float = BOOKED_SHARE,
+    ) -> float:
         """Return the delay after which a refused caller should return.
 
         Args:
             work_s: slot time of its request.
             most_s: longest delay after which it would return.
             now_s: present time on the monotonic clock.
+            share: share of the slots kept for such callers.
         """
         drained_s = now_s + self.wait_s(self.queued_s)
         due_s = max(drained_s, self.booked_until_s)
-        if due_s - now_s > most_s:
+        if due_s - now_s > most_s or share <= 0:
             return most_s
-        self.booked_until_s = due_s + self.wait_s(work_s) / BOOKED_SHARE
+        self.booked_until_s = due_s + self.wait_s(work_s) / share
         return due_s - now_s
--- a/wigeonfall/policy/room/rank_shares.py
+++ b/wigeonfall/policy/room/rank_shares.py
@@ -37,6 +37,11 @@
         """Count a request that was refused."""
         self._counts.setdefault(rank, _Counts()).lost += 1.0
 
+    def count_returned(self, rank: int) -> None:
+        """Count a caller as not lost, as it came back after its refusal."""
+        counts = self._counts.setdefault(rank, _Counts())
+        counts.lost = max(0.0, counts.lost - 1.0)
+
     def held_back(
         self, late: Mapping[int, int], now_s: float
     ) -> frozenset[int]:
--- a/wigeonfall/policy/room/waiting.py
+++ b/wigeonfall/policy/room/waiting.py
@@ -3,19 +3,15 @@
 Load patterns: a burst exceeds what all targets can run at once; callers of
 streams give up after a few seconds without an event, and retry once after a
 refusal. In order of arrival, all requests would be late as soon as there is a
-queue. Requests are therefore ordered by rank and, within a rank, by class:
-first those that can still meet their goal, then retries, then late ones. Short
-requests that can meet their goal occupy a slot only briefly and go before all
-others, unless more urgent ranks are served less often than theirs. A request
-that cannot begin within its caller's patience is refused at once, with a delay
-after which there should be a free slot. When peers wait for the same targets,
-each instance takes its share of the free slots, after those needed by requests
-of peers that are ahead in this order.
+queue; `order` says who goes first instead. A request that cannot begin within
+its caller's patience is refused at once, with a delay after which there should
+be a free slot. When peers wait for the same targets, each instance takes its
+share of the free slots, after those needed by requests of peers that are ahead
+in this order.
 """
 
 import bisect
 from collections.abc import Callable
-from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
@@ -23,24 +19,27 @@
 import random
 from typing import TypeAlias
 
-import attrs
-
-from ...model.prompt import PromptPart
 from ..targets.load_balancer import LoadBalancer
 from ..targets.load_balancer import TimeBudget
 from ..targets.moving_average import MovingAverage
-from ..targets.target_stats import RequestSize
 from ..targets.target_stats import TargetEstimate
 from ..targets.target_stats import TargetStats
 from .best_times import BestTimes
 from .best_times import mean_work
 from .best_times import MeanWork
+from .bookings import Bookings
+from .customer_shares import CustomerShares
+from .customer_shares import Holder
 from .expected_room import ExpectedRoom
+from .kind_shares import KindShares
+from .order import class_of
+from .order import CLASSES
+from .order import Precedence
 from .patience import RETRY_SHARE
+from .pending import PendingRequest
 from .rank_shares import RankShares
+from .terms import RoomTerms
 
-MAX_SHORT_S = 0.3  # from dispatch to the end of a short answer
-TRANSIT_S = 0.02  # to the target and back to the caller
 MIN_RETRY_AFTER_S = 0.3
 RETRY_SPREAD = 0.3  # of the delay, for callers that return at the latest
 CLASSIFY_PERIOD_S = 0.01  # goals hardly come nearer within it
@@ -49,46 +48,9 @@
 HOPELESS_FACTOR = 1.5  # error of an expected wait
 MAX_PASSED_OVER = 200  # requests that fit no open target, in one pass
 SHARE_PERIOD_S = 0.05  # period in which peers exchange their state
-SHORT_CLASS_OFFSET = 10_000  # exceeds the classes of all ranks
-_CLASSES = 3
-_IN_TIME, _RETRY, _LATE = range(_CLASSES)
-
-_Position: TypeAlias = tuple[int, float, str]  # class, arrival, identifier
-
-
-@attrs.frozen
-class PendingRequest:
-    """A request that waits for a slot at a target.
-
-    Attributes:
-        id: identifier of the request.
-        rank: priority; 0 goes first.
-        is_retry: whether its caller was refused before.
-        arrived_s: arrival, on the monotonic clock.
-        goal_s: time by which the first event is due.
-        patience_s: time at which the caller gives up without one.
-        deadline_s: time by which the answer must be complete.
-        queue_deadline_s: time at which it is refused if it still waits.
-        size: its size in tokens.
-        is_eligible: returns whether a target may get it, by its name.
-        kind: name of its route, '' if an older peer did not tell it.
-        customer: name of its customer, '' if unknown.
-        parts: parts of its prompt, in order.
-    """
 
-    id: str
-    rank: int
-    is_retry: bool
-    arrived_s: float
-    goal_s: float
-    patience_s: float
-    deadline_s: float
-    queue_deadline_s: float
-    size: RequestSize = RequestSize()
-    is_eligible: Callable[[str], bool] = lambda _name: True
-    kind: str = ''
-    customer: str = ''
-    parts: tuple[PromptPart, ...] = ()
+# Class, whether its customer used more than its part, arrival, identifier.
+_Position: TypeAlias = tuple[int, bool, float, str]
 
 
 class RequestQueue:
@@ -97,13 +59,18 @@
     Args:
         balancer: load balancer over the targets.
         draw: returns random numbers from 0 to 1.
+        terms: returns the terms on which requests share scarce room.
     """
 
     def __init__(
-        self, balancer: LoadBalancer, draw: Callable[[], float] = random.random
+        self,
+        balancer: LoadBalancer,
+        draw: Callable[[], float] = random.random,
+        terms: Callable[[], RoomTerms] = RoomTerms,
     ) -> None:
         self._balancer = balancer
         self._draw = draw
+        self._terms = terms
         self._pending: dict[str, PendingRequest] = {}
         self._deadlines: list[tuple[float, str]] = []
         self._freed_slots = 0
@@ -113,7 +80,11 @@
         self._new: list[PendingRequest] = []
         self._ordered_s = float('-inf')
         self._shares = RankShares()
-        self._held_back: frozenset[int] = frozenset()
+        self._kinds = KindShares()
+        self._customers = CustomerShares()
+        self._bookings = Bookings()
+        self._precedence = Precedence()
+        self._over: frozenset[Holder] = frozenset()
         self._room = ExpectedRoom()
         self._work = MeanWork()
         self._mean_work_s = MovingAverage()
@@ -124,21 +95,25 @@
     def counts_by_class(self) -> dict[int, int]:
         """Return the number of waiting requests by priority class."""
         counts: dict[int, int] = {}
-        for number, _, name in self._order:
+        for number, _, _, name in self._order:
             if name in self._pending:
                 counts[number] = counts.get(number, 0) + 1
         for pending in self._new:
             if pending.id in self._pending:
-                number = pending.rank * _CLASSES
+                number = pending.rank * CLASSES
                 counts[number] = counts.get(number, 0) + 1
         return counts
 
     def add(self, pending: PendingRequest) -> None:
         """Add a request to the queue."""
+        work_s = self._work.of(pending.size)
+        returned = self._bookings.recognise(pending)
+        if returned is not None:
+            pending = returned
+            self._shares.count_returned(pending.rank)
+            self._kinds.count_returned(pending.kind, work_s)
         self._pending[pending.id] = pending
-        self._mean_work_s.observe(
-            self._work.of(pending.size), pending.arrived_s
-        )
+        self._mean_work_s.observe(work_s, pending.arrived_s)
         self._new.append(pending)
         heapq.heappush(self._deadlines, (pending.queue_deadline_s, pending.id))
 
@@ -158,6 +133,8 @@
             pending = self._pending.pop(name, None)
             if pending is not None:
                 self._shares.count_lost(pending.rank)
+                work_s = self._work.of(pending.size)
+                self._kinds.count_lost(pending.kind, work_s)
                 expired.append(pending)
         return expired
 
@@ -176,11 +153,17 @@
         most_s = RETRY_SHARE * (pending.deadline_s - now_s)
         if most_s < MIN_RETRY_AFTER_S:
             return None
-        delay_s = self._room.book(self._work.of(pending.size), most_s, now_s)
-        if delay_s >= most_s:
+        work_s = self._work.of(pending.size)
+        share = self._terms().booked
+        delay_s = self._room.book(work_s, most_s, now_s, share)
+        has_room = delay_s < most_s
+        if has_room:
+            delay_s = max(MIN_RETRY_AFTER_S, delay_s)
+        else:
             # Callers that all come at the end must not come together.
-            return most_s * (1.0 - RETRY_SPREAD * self._draw())
-        return max(MIN_RETRY_AFTER_S, delay_s)
+            delay_s = most_s * (1.0 - RETRY_SPREAD * self._draw())
+        self._bookings.add(pending, now_s + delay_s, has_room)
+        return delay_s
 
     def dispatch(
         self,
@@ -208,7 +191,7 @@
             if e.is_open(now_s, crowded)
         }
         passed_over = 0
-        for number, _, pending_id in self._order:
+        for number, _, _, pending_id in self._order:
             if not open_targets or passed_over > MAX_PASSED_OVER:
                 break
             pending = self._pending.get(pending_id)
@@ -223,7 +206,7 @@
                 passed_over += 1
                 continue
             del self._pending[pending_id]
-            self._shares.count_served(pending.rank)
+            self._count_served(pending)
             self._count_dispatch(peers_waiting)
             name = chosen.stats.target.name
             self._balancer.request_sent(name, pending.size)
@@ -233,6 +216,12 @@
             yield pending, chosen.stats
         self._freed_slots = 0
 
+    def _count_served(self, pending: PendingRequest) -> None:
+        work_s = self._work.of(pending.size)
+        self._shares.count_served(pending.rank)
+        self._kinds.count_served(pending.kind, work_s)
+        self._customers.count_served(pending.rank, pending.customer, work_s)
+
     def _choose(
         self,
         pending: PendingRequest,
@@ -289,7 +278,7 @@
             return
         self._ordered_s = now_s
         self._new.clear()
-        self._held_back = self._shares.held_back(self._late(now_s), now_s)
+        self._update_precedence(now_s)
         self._order = sorted(
             self._position(pending, best, now_s)
             for pending in self._pending.values()
@@ -301,8 +290,18 @@
     def _position(
         self, pending: PendingRequest, best: BestTimes | None, now_s: float
     ) -> '_Position':
-        number = _class_of(pending, best, self._held_back, now_s)
-        return number, pending.arrived_s, pending.id
+        number = class_of(pending, best, self._precedence, now_s)
+        over = (pending.rank, pending.customer) in self._over
+        return number, over, pending.arrived_s, pending.id
+
+    def _update_precedence(self, now_s: float) -> None:
+        terms = self._terms()
+        self._precedence = Precedence(
+            self._shares.held_back(self._late(now_s), now_s),
+            self._kinds.below_floor(terms.floor, now_s),
+        )
+        holders = {(p.rank, p.customer) for p in self._pending.values()}
+        self._over = self._customers.over(holders, terms.rate_of, now_s)
 
     def _late(self, now_s: float) -> dict[int, int]:
         """Return the waiting requests past their goal, by rank."""
@@ -331,7 +330,7 @@
     def _expire_hopeless(self, now_s: float) -> None:
         """Let requests expire that others keep from beginning in time."""
         ahead_s = 0.0
-        for _, _, pending_id in self._order:
+        for _, _, _, pending_id in self._order:
             pending = self._pending[pending_id]
             left_s = pending.queue_deadline_s - now_s
             if self._room.wait_s(ahead_s) > HOPELESS_FACTOR * left_s:
@@ -373,23 +372,3 @@
         free = sum(max(0, int(e.free_slots)) for e in estimates) - ahead
         share = max(0.0, free * own / max(1, own + same))
         self._drawn_slots = int(share) + (self._draw() < share - int(share))
-
-
-def _class_of(
-    pending: PendingRequest,
-    best: BestTimes | None,
-    held_back: Collection[int],
-    now_s: float,
-) -> int:
-    """Return the priority class of a request; lower ones go first."""
-    number = pending.rank * _CLASSES
-    if best is None:
-        return number
-    first_s = best.first_s(pending.size)
-    place = _IN_TIME
-    if now_s + first_s + TRANSIT_S > pending.goal_s:
-        place = _RETRY if pending.is_retry else _LATE
-    short = first_s + best.answer_s(pending.size) <= MAX_SHORT_S
-    if short and place != _LATE and pending.rank not in held_back:
-        return number + place - SHORT_CLASS_OFFSET
-    return number + place
