Recognise returning callers by the end of their time as well

Cause: requests without prompt parts or token counts have only kind and customer in common, so that any new one passed for the return of a caller that was refused, and lost its goal.

Change: the deadline of a return is about that of its first request, while a new caller who sends the same has a later one; the difference must be below half of the time between the two.

--- a/tests/forwarding/test_arbiter.py
+++ b/tests/forwarding/test_arbiter.py
@@ -22,6 +22,7 @@
 from wigeonfall.model.target import Target
 from wigeonfall.policy import arbiters
 from wigeonfall.policy.arbiters import Candidate
+from wigeonfall.policy.room import order
 from wigeonfall.policy.room.pending import PendingRequest
 from wigeonfall.policy.room.token_quota import Charge
 from wigeonfall.policy.room.token_quota import OverLimit
@@ -244,6 +245,28 @@
         assert net.outstanding() == 0
 
 
+@pytest.mark.parametrize('is_lost', (False, True))
+@in_virtual_time
+async def test_caller_that_returns_to_another_instance_is_recognised(is_lost):
+    """Unless the arbiter that refused it is lost; then it is a new one."""
+    async with Network(20) as net:
+        now_s = asyncio.get_running_loop().time()
+        for n in range(SLOTS):
+            assert isinstance(await ask(net[9], make_request(f's{n}')), Slot)
+        refused = await ask(net[5], make_request('r1', wait_s=0.2))
+        assert isinstance(refused, NoRoom)
+        await asyncio.sleep(refused.retry_after_s)
+        if is_lost:
+            net.silent.add('i00')
+        again = attrs.evolve(make_request('r2'), deadline_s=now_s + 15.0)
+        call = asyncio.create_task(ask(net[7], again))
+        await asyncio.sleep(0.5)
+        waiting = net[0].scheduler.waiting().get('s', {})
+        assert is_lost or min(waiting) >= order.BOOKED_OFFSET
+        assert call.done() is is_lost
+        call.cancel()
+
+
 @in_virtual_time
 async def test_clients_of_a_silent_arbiter_fail_over_to_the_next():
     """The arbiter freezes or is partitioned while requests wait."""
--- a/wigeonfall/policy/room/bookings.py
+++ b/wigeonfall/policy/room/bookings.py
@@ -3,9 +3,9 @@
 Load pattern: callers that are refused in a burst return once, each with a new
 request at any instance, into the load that is left of the burst. Among new
 arrivals many are refused again and then lost. A caller is recognised by what
-it sends anyway. Its goal is that of its first request, so that it does not
-take the place of a caller that can be in time; and if it comes at the time
-that it was told, it goes before all others that cannot.
+it sends anyway and by its deadline. Its goal is that of its first request, so
+that it does not take the place of a caller that can be in time; and if it
+comes at the time that it was told, it goes before all others that cannot.
 """
 
 import heapq
@@ -21,6 +21,7 @@
 EARLY_S = 0.1  # before its time a caller may return
 LAPSE_S = 0.5  # after its time; callers are punctual
 FORGET_S = 5.0  # after its time; then the caller will not come
+SAME_DEADLINE_SHARE = 0.5  # of the time since; routes may shorten the first
 MAX_RETURNS = 4096  # remembered for one service
 
 _Key: TypeAlias = tuple[str, str, RequestSize, tuple[PromptPart, ...]]
@@ -31,11 +32,15 @@
     """A caller that was told to return.
 
     Attributes:
-        goal_s: goal of its first request, on the monotonic clock.
+        arrived_s: arrival of its first request, on the monotonic clock.
+        deadline_s: deadline of that request.
+        goal_s: goal of that request.
         due_s: time at which it was told to return.
         has_room: whether room is kept for it at that time.
     """
 
+    arrived_s: float
+    deadline_s: float
     goal_s: float
     due_s: float
     has_room: bool
@@ -62,7 +67,13 @@
             due_s: time that it was told, on the monotonic clock.
             has_room: whether room is kept for it then.
         """
-        booking = Booking(pending.goal_s, due_s, has_room)
+        booking = Booking(
+            pending.arrived_s,
+            pending.deadline_s,
+            pending.goal_s,
+            due_s,
+            has_room,
+        )
         key = _key(pending)
         self._by_key.setdefault(key, []).append(booking)
         heapq.heappush(
@@ -82,10 +93,13 @@
         while self._by_time and self._by_time[0][0] < pending.arrived_s:
             self._forget_first()
         key = _key(pending)
-        bookings = self._by_key.get(key)
-        if not bookings:
+        booking = min(
+            (b for b in self._by_key.get(key, ()) if _is_same(b, pending)),
+            key=lambda b: b.due_s,
+            default=None,
+        )
+        if booking is None:
             return None
-        booking = min(bookings, key=lambda b: b.due_s)
         self._remove(key, booking)
         early_s = booking.due_s - pending.arrived_s
         return attrs.evolve(
@@ -107,5 +121,16 @@
             del self._by_key[key]
 
 
+def _is_same(booking: Booking, pending: PendingRequest) -> bool:
+    """Return whether a request may be of a caller that returns.
+
+    Its deadline is about that of the first one; that of a new caller who
+    sends the same is later by the time between the two.
+    """
+    elapsed_s = pending.arrived_s - booking.arrived_s
+    later_s = abs(pending.deadline_s - booking.deadline_s)
+    return later_s < SAME_DEADLINE_SHARE * elapsed_s
+
+
 def _key(pending: PendingRequest) -> _Key:
     return pending.kind, pending.customer, pending.size, pending.parts
