Record which kinds are below their floor, and tell operators

Event 215 at most once a second for a service; the counter of events has it too. test_kinds_below_their_floor_are_recorded failed before, as there was no event.

--- a/tests/forwarding/test_arbiter.py
+++ b/tests/forwarding/test_arbiter.py
@@ -65,11 +65,15 @@
         for target in TARGETS:
             self.balancer.record_first_event(target.name, 0, 0.05, 0.0)
         names = tuple(target.name for target in TARGETS)
-        self.scheduler = Scheduler(
-            self.balancer, lambda _: names, lambda: (), lambda: None
-        )
         self.tokens = 0.0
         self.events = []
+        self.scheduler = Scheduler(
+            self.balancer,
+            lambda _: names,
+            lambda: (),
+            lambda: None,
+            record=self.note,
+        )
         self.observations = Observations(self.balancer, self.note)
         self.slot_client = SlotClient(
             SlotClientContext(
@@ -267,6 +271,29 @@
         call.cancel()
 
 
+@in_virtual_time
+async def test_kinds_below_their_floor_are_recorded():
+    async with Network(1) as net:
+        for n in range(SLOTS):
+            taken = attrs.evolve(make_request(f's{n}'), kind='first')
+            await ask(net[0], taken)
+        refused = [
+            attrs.evolve(make_request(f'r{n}', 1, wait_s=0.1), kind='next')
+            for n in range(8)
+        ]
+        await asyncio.gather(*(ask(net[0], pending) for pending in refused))
+        waiting = attrs.evolve(make_request('w'), kind='next')
+        call = asyncio.create_task(ask(net[0], waiting))
+        await asyncio.sleep(1.5)
+        changes = [
+            fields['below_floor']
+            for event, fields in net[0].events
+            if event is Event.SHARES_CHANGED
+        ]
+        assert changes == [['next']]
+        call.cancel()
+
+
 @in_virtual_time
 async def test_clients_of_a_silent_arbiter_fail_over_to_the_next():
     """The arbiter freezes or is partitioned while requests wait."""
--- a/wigeonfall/events.py
+++ b/wigeonfall/events.py
@@ -38,6 +38,7 @@
     RESEND_REFUSED = (212, logging.INFO, 'resend budget exhausted')
     PART_QUARANTINED = (213, logging.WARNING, 'prompt part quarantined')
     PART_RELEASED = (214, logging.INFO, 'prompt part released')
+    SHARES_CHANGED = (215, logging.INFO, 'shares of scarce room changed')
 
     ORDER_CLAIMED = (301, logging.INFO, 'order claimed')
     ORDER_DONE = (302, logging.INFO, 'order done')
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -95,6 +95,7 @@
             lambda: self._peers.loads(time.monotonic()),
             self._on_load_change,
             self._room_terms,
+            record,
         )
         self._rollouts = Rollouts(
             trials=trials,
--- a/wigeonfall/forwarding/scheduler.py
+++ b/wigeonfall/forwarding/scheduler.py
@@ -2,24 +2,29 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 import time
 from typing import TypeAlias
 
 import attrs
 
+from ..events import Event
 from ..model.target import Target
+from ..policy.room.order import Precedence
 from ..policy.room.pending import PendingRequest
 from ..policy.room.terms import RoomTerms
 from ..policy.room.waiting import RequestQueue
 from ..policy.targets.load_balancer import LoadBalancer
 from ..policy.targets.target_stats import PeerLoad
 from ..policy.targets.target_stats import RequestSize
+from ..recorder import Record
 
 TICK_S = 0.02  # too short for callers to notice
 # A longer queue is not scanned at each event, but after a delay.
 LONG_QUEUE_REQUESTS = 16
 LONG_QUEUE_DELAY_S = 0.005  # far below the goals of callers
+RECORD_PERIOD_S = 1.0
 BATCH_DELAY_S = 0.002  # requests submitted within it are dispatched together
 
 
@@ -76,6 +81,7 @@
         peers: returns the outstanding and waiting requests of peers.
         on_load_change: called when the load of this instance changes.
         terms: returns the terms on which requests share scarce room.
+        record: records events.
     """
 
     def __init__(
@@ -85,12 +91,18 @@
         peers: Callable[[], Iterable[PeerLoad]],
         on_load_change: Callable[[], None],
         terms: Callable[[], RoomTerms] = RoomTerms,
+        record: Record = lambda event, **fields: None,
     ) -> None:
         self.balancer = balancer
         self._targets_of = targets_of
         self._peers = peers
         self._on_load_change = on_load_change
         self._terms = terms
+        self._record = record
+        self._below_floor: dict[
+            str, tuple[Collection[str], Collection[str]]
+        ] = {}
+        self._recorded_s = 0.0
         self._queues: dict[str, RequestQueue] = {}
         self._futures: dict[str, asyncio.Future[Decision]] = {}
         self._dispatch_timers: dict[str, asyncio.TimerHandle] = {}
@@ -234,9 +246,31 @@
             await self._has_waiting.wait()
             await asyncio.sleep(TICK_S)
             self.dispatch_all()
+            self._record_shares()
             if not any(len(queue) for queue in self._queues.values()):
                 self._has_waiting.clear()
 
+    def _record_shares(self) -> None:
+        """Record the services whose kinds below their floor changed."""
+        now_s = time.monotonic()
+        if now_s - self._recorded_s < RECORD_PERIOD_S:
+            return
+        self._recorded_s = now_s
+        for service, queue in self._queues.items():
+            precedence = queue.precedence if len(queue) else Precedence()
+            below = precedence.below_floor, precedence.large_below_floor
+            if below == self._below_floor.get(service, (set(), set())):
+                continue
+            self._below_floor[service] = below
+            self._record(
+                Event.SHARES_CHANGED,
+                service=service,
+                below_floor=sorted(precedence.below_floor),
+                large_below_floor=sorted(precedence.large_below_floor),
+                customers_over=sorted({c for _, c in precedence.over}),
+                waiting=len(queue),
+            )
+
     def _dispatch_soon(self, service: str, delay_s: float) -> None:
         """Dispatch a service after a delay, unless that is due already."""
         if service not in self._dispatch_timers:
--- a/wigeonfall/policy/room/order.py
+++ b/wigeonfall/policy/room/order.py
@@ -41,11 +41,14 @@
         below_floor: kinds that have got less than their floor.
         large_below_floor: kinds whose large requests have got less than
             theirs.
+        over: ranks and names of customers that have used more than their
+            part; within a class they go after the others.
     """
 
     held_back: Collection[int] = frozenset()
     below_floor: Collection[str] = frozenset()
     large_below_floor: Collection[str] = frozenset()
+    over: Collection[tuple[int, str]] = frozenset()
 
 
 def class_of(
--- a/wigeonfall/policy/room/waiting.py
+++ b/wigeonfall/policy/room/waiting.py
@@ -29,7 +29,6 @@
 from .best_times import MeanWork
 from .bookings import Bookings
 from .customer_shares import CustomerShares
-from .customer_shares import Holder
 from .expected_room import ExpectedRoom
 from .kind_shares import KindShares
 from .order import class_of
@@ -84,7 +83,6 @@
         self._customers = CustomerShares()
         self._bookings = Bookings()
         self._precedence = Precedence()
-        self._over: frozenset[Holder] = frozenset()
         self._room = ExpectedRoom()
         self._work = MeanWork()
         self._mean_work_s = MovingAverage()
@@ -92,6 +90,11 @@
     def __len__(self) -> int:
         return len(self._pending)
 
+    @property
+    def precedence(self) -> Precedence:
+        """What changes the order by rank at present."""
+        return self._precedence
+
     def counts_by_class(self) -> dict[int, int]:
         """Return the number of waiting requests by priority class."""
         counts: dict[int, int] = {}
@@ -296,18 +299,18 @@
             pending.kind, self._work.of(pending.size)
         )
         number = class_of(pending, best, self._precedence, now_s, is_large)
-        over = (pending.rank, pending.customer) in self._over
+        over = (pending.rank, pending.customer) in self._precedence.over
         return number, over, pending.arrived_s, pending.id
 
     def _update_precedence(self, now_s: float) -> None:
         terms = self._terms()
+        holders = {(p.rank, p.customer) for p in self._pending.values()}
         self._precedence = Precedence(
             self._shares.held_back(self._late(now_s), now_s),
             self._kinds.below_floor(terms.floor, now_s),
             self._kinds.large_below_floor(terms.floor),
+            self._customers.over(holders, terms.rate_of, now_s),
         )
-        holders = {(p.rank, p.customer) for p in self._pending.values()}
-        self._over = self._customers.over(holders, terms.rate_of, now_s)
 
     def _late(self, now_s: float) -> dict[int, int]:
         """Return the waiting requests past their goal, by rank."""
