--- a/wigeonfall/events.py
+++ b/wigeonfall/events.py
@@ -61,6 +61,7 @@
     GRANT_REVOKED = (404, logging.INFO, 'grant revoked')
     ARBITRATION_BEGUN = (405, logging.INFO, 'arbitration of a pool started')
     GRANTS_RECLAIMED = (406, logging.WARNING, 'grants of holder reclaimed')
+    SHARES_CHANGED = (407, logging.INFO, 'shares of scarce room changed')
 
     CONFIGURATION_IN_FORCE = (501, logging.INFO, 'configuration in force')
     CONFIGURATION_REFUSED = (502, logging.ERROR, 'configuration refused')
--- a/wigeonfall/forwarding/customer_quotas.py
+++ b/wigeonfall/forwarding/customer_quotas.py
@@ -52,6 +52,11 @@
         index = self.cluster_state.routing_index
         return index.by_name.get(customer) if index else None
 
+    def rate_of(self, customer: str) -> float:
+        """Return the token rate of a customer, 0 if it has no limit."""
+        holder = self._holder(customer)
+        return holder.tokens_per_s if holder else 0.0
+
     def refund(self, customer: str, tokens: float) -> None:
         """Refund the tokens of a request that did not run."""
         self.quotas.refund(customer, tokens, time.monotonic())
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -18,6 +18,7 @@
 from ..policy import memory
 from ..policy.memory import Cause
 from ..policy.room import resend_budget
+from ..policy.room.terms import RoomTerms
 from ..policy.room import token_quota
 from ..policy.targets.cold_targets import PacedShare
 from ..policy.targets.kept_parts import KeptParts
@@ -109,6 +110,8 @@
             lambda: self._peers.loads(time.monotonic()),
             self._on_load_change,
             KeptParts(self._cluster_state.memory_tokens),
+            self._room_terms,
+            record,
         )
         self._rollouts = Rollouts(
             trials=trials,
@@ -393,6 +396,12 @@
         """Record that a target's address now belongs to another target."""
         self._balancer.record_broken_connection(target.name, time.monotonic())
 
+    def _room_terms(self) -> RoomTerms:
+        shares = self._settings.shares
+        return RoomTerms(
+            shares.floor, shares.booked, self._customer_quotas.rate_of
+        )
+
     def _on_load_change(self) -> None:
         self._link.send_soon()
 
--- a/wigeonfall/forwarding/pending_requests.py
+++ b/wigeonfall/forwarding/pending_requests.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 
 from ..policy.room import patience
+from ..policy.room.pending import PendingRequest
 from ..policy.room.token_quota import Charge
-from ..policy.room.waiting import PendingRequest
 from .routed_request import RoutedRequest
 
 
--- a/wigeonfall/forwarding/scheduler.py
+++ b/wigeonfall/forwarding/scheduler.py
@@ -2,26 +2,32 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 import time
 from typing import TypeAlias
 
 import attrs
 
+from ..events import Event
 from ..model.target import Target
+from ..policy.room.order import Precedence
+from ..policy.room.pending import PendingRequest
 from ..policy.room.rehearsal import Rehearsal
 from ..policy.room.rehearsal import rehearse
-from ..policy.room.waiting import PendingRequest
+from ..policy.room.terms import RoomTerms
 from ..policy.room.waiting import RequestQueue
 from ..policy.targets.kept_parts import KeptParts
 from ..policy.targets.load_balancer import LoadBalancer
 from ..policy.targets.target_stats import PeerLoad
 from ..policy.targets.target_stats import RequestSize
+from ..recorder import Record
 
 TICK_S = 0.02  # too short for callers to notice
 # A longer queue is not scanned at each event, but after a delay.
 LONG_QUEUE_REQUESTS = 16
 LONG_QUEUE_DELAY_S = 0.005  # far below the goals of callers
+RECORD_PERIOD_S = 1.0
 BATCH_DELAY_S = 0.002  # requests submitted within it are dispatched together
 
 
@@ -80,6 +86,8 @@
         peers: returns the outstanding and waiting requests of peers.
         on_load_change: called when the load of this instance changes.
         kept: parts of prompts that targets hold.
+        terms: returns the terms on which requests share scarce room.
+        record: records events.
     """
 
     def __init__(
@@ -89,12 +97,20 @@
         peers: Callable[[], Iterable[PeerLoad]],
         on_load_change: Callable[[], None],
         kept: KeptParts | None = None,
+        terms: Callable[[], RoomTerms] = RoomTerms,
+        record: Record = lambda event, **fields: None,
     ) -> None:
         self.balancer = balancer
         self._kept = kept or KeptParts()
         self._targets_of = targets_of
         self._peers = peers
         self._on_load_change = on_load_change
+        self._terms = terms
+        self._record = record
+        self._below_floor: dict[
+            str, tuple[Collection[str], Collection[str]]
+        ] = {}
+        self._recorded_s = 0.0
         self._queues: dict[str, RequestQueue] = {}
         self._futures: dict[str, asyncio.Future[Decision]] = {}
         self._dispatch_timers: dict[str, asyncio.TimerHandle] = {}
@@ -136,9 +152,12 @@
             A future of a slot, which must be released, or of the refusal. If
             it is cancelled, the request must be withdrawn.
         """
-        queue = self._queues.setdefault(
-            service, RequestQueue(self.balancer, kept=self._kept)
-        )
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = RequestQueue(
+                self.balancer, kept=self._kept, terms=self._terms
+            )
+            self._queues[service] = queue
         future = asyncio.get_running_loop().create_future()
         self._futures[pending.id] = future
         future.add_done_callback(lambda _: self._futures.pop(pending.id, None))
@@ -265,9 +284,31 @@
             await self._has_waiting.wait()
             await asyncio.sleep(TICK_S)
             self.dispatch_all()
+            self._record_shares()
             if not any(len(queue) for queue in self._queues.values()):
                 self._has_waiting.clear()
 
+    def _record_shares(self) -> None:
+        """Record the services whose kinds below their floor changed."""
+        now_s = time.monotonic()
+        if now_s - self._recorded_s < RECORD_PERIOD_S:
+            return
+        self._recorded_s = now_s
+        for service, queue in self._queues.items():
+            precedence = queue.precedence if len(queue) else Precedence()
+            below = precedence.below_floor, precedence.large_below_floor
+            if below == self._below_floor.get(service, (set(), set())):
+                continue
+            self._below_floor[service] = below
+            self._record(
+                Event.SHARES_CHANGED,
+                service=service,
+                below_floor=sorted(precedence.below_floor),
+                large_below_floor=sorted(precedence.large_below_floor),
+                customers_over=sorted({c for _, c in precedence.over}),
+                waiting=len(queue),
+            )
+
     def _dispatch_soon(self, service: str, delay_s: float) -> None:
         """Dispatch a service after a delay, unless that is due already."""
         if service not in self._dispatch_timers:
--- a/wigeonfall/policy/room/rehearsal.py
+++ b/wigeonfall/policy/room/rehearsal.py
@@ -15,7 +15,7 @@
 
 from ..targets.load_balancer import TimeBudget
 from ..targets.target_stats import TargetEstimate
-from .waiting import PendingRequest
+from .pending import PendingRequest
 from .waiting import RequestQueue
 
 
