Refuse requests with little time while their callers may return

Cause: a stream whose patience is longer than its time waited until 0.25 s before its end: of 2.5 s it was held 2.25 s, and its caller had no time to return.

Change: a first request waits at most 0.6 of its time, as it does of its patience; one that returns waits as before.

--- a/tests/policy/test_scarce_room.py
+++ b/tests/policy/test_scarce_room.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tests.policy.overload import Kind
 from tests.policy.overload import Phase
 from tests.policy.overload import replay
 from tests.policy.overload import TUTOR_KINDS
@@ -66,6 +67,16 @@
     assert by_customer['a'].share >= 0.35
 
 
+def test_callers_with_little_time_are_told_early():
+    """Each refusal took 0.73 s of their 2.55 s."""
+    kinds = (
+        Kind('review', 0, 17.0, 378, 0.65, 12.9, 8.7, 6600),
+        Kind('digest', 2, 40.0, 27, 1.22, 2.55, 0.21, 1800),
+    )
+    count = play(Phase(12.0, 3.0), kinds=kinds).counts['digest']
+    assert count.held_s / count.refused <= 0.65
+
+
 @pytest.mark.parametrize(
     'names',
     [(n,) for n in TROUBLES] + list(itertools.combinations(TROUBLES, 2)),
--- a/wigeonfall/policy/room/patience.py
+++ b/wigeonfall/policy/room/patience.py
@@ -9,7 +9,7 @@
 PATIENCE_GOALS = 4.0  # multiple of the goal for the first event
 PATIENCE_PAUSES = 8.0  # multiple of the goal for pauses between events
 ANSWER_MARGIN_S = 0.25  # for the round trip to the target
-WAIT_SHARE = 0.6  # of the patience; the target needs the rest
+WAIT_SHARE = 0.6  # of the patience or time; the target needs the rest
 RETRY_WAIT_SHARE = 0.85  # of the patience, for callers that will not retry
 BUFFERED_WAIT_SHARE = 0.6  # of the time left, for services that do not stream
 RETRY_SHARE = 1 / 3  # callers honour a delay up to this share of the time left
@@ -45,6 +45,10 @@
     """
     if not streaming:
         return max(0.0, BUFFERED_WAIT_SHARE * time_left_s - ANSWER_MARGIN_S)
-    share = RETRY_WAIT_SHARE if is_retry else WAIT_SHARE
-    max_s = share * patience_s(goal_s, pause_s)
+    max_s = patience_s(goal_s, pause_s)
+    if is_retry:
+        max_s *= RETRY_WAIT_SHARE
+    else:
+        # The rest of a short time is needed to return after a refusal.
+        max_s = WAIT_SHARE * min(max_s, time_left_s)
     return max(0.0, min(max_s, time_left_s - ANSWER_MARGIN_S))
