--- a/tests/policy/overload.py
+++ b/tests/policy/overload.py
@@ -244,7 +244,9 @@
             first_s, token_s = FIRST_EVENT_S / speed, pool.token_s / speed
             self.balancer.record_first_event(name, 0, first_s, 0.0)
             self.balancer.record_answer(name, size, 100 * token_s, 0.0)
-        self.queue = RequestQueue(self.balancer, self.random.random, terms)
+        self.queue = RequestQueue(
+            self.balancer, self.random.random, terms=terms
+        )
         self._callers: dict[str, _Caller] = {}
         self._running: list[tuple[float, int, _Run]] = []
         self._reading: list[tuple[float, int, _Run]] = []
--- a/tests/policy/test_kept_parts.py
+++ b/tests/policy/test_kept_parts.py
@@ -33,7 +33,7 @@
         for name in names:
             train(self.balancer, name, 0.1)
         self.kept = KeptParts(lambda _service: memory_tokens)
-        self.queue = RequestQueue(self.balancer, lambda: 0.5, self.kept)
+        self.queue = RequestQueue(self.balancer, lambda: 0.5, kept=self.kept)
         self.numbers = itertools.count()
 
     def send(self, parts, now_s, rest_tokens=100):
--- a/wigeonfall/forwarding/scheduler.py
+++ b/wigeonfall/forwarding/scheduler.py
@@ -254,7 +254,9 @@
         """Return what would become of a request now; nothing changes."""
         queue = self._queues.get(service)
         if queue is None:
-            queue = RequestQueue(self.balancer, kept=self._kept)
+            queue = RequestQueue(
+                self.balancer, kept=self._kept, terms=self._terms
+            )
         return rehearse(
             queue,
             pending,
