--- a/wigeonfall/policy/targets/cold_targets.py
+++ b/wigeonfall/policy/targets/cold_targets.py
@@ -24,9 +24,12 @@
 
 from ...model.target import Target
 
-WINDOW_S = 1.1  # a second, and how much later some requests are sent
-LIMIT_SHARE = 0.9  # of the bound, as two sides may count an instance shortly
-COLD_FACTOR = 1.25  # of what a cold target endures; it crashes far above
+WINDOW_S = 1.0  # published
+# Of the bound. The rest is for two sides that both count an instance
+# shortly, and for requests that are sent later than others.
+COLD_SHARE = 0.75
+WARM_SHARE = 0.9
+COLD_FACTOR = 1.35  # of what a cold target endures; it crashes far above
 RAMP_S = 2.5  # in which a part that grows comes into use
 SHARE_PERIOD_S = 0.1  # far below the time after which a peer is silent
 GOLDEN_RATIO = 0.6180339887
@@ -299,5 +302,6 @@
 
 def _most(terms: ColdTerms, cold: bool) -> float:
     """Return the requests that all instances may send in a window."""
-    limit = LIMIT_SHARE * terms.most_per_s
-    return min(COLD_FACTOR * terms.per_s, limit) if cold else limit
+    if not cold:
+        return WARM_SHARE * terms.most_per_s
+    return min(COLD_SHARE * terms.most_per_s, COLD_FACTOR * terms.per_s)
