Spend fewer calls on the memory of an ordinary request

Limits are read once a request instead of for each header line, and requests within the connection's share cost no call.

--- a/tests/forwarding/test_caller_memory.py
+++ b/tests/forwarding/test_caller_memory.py
@@ -159,7 +159,7 @@
             b'\r\n' + b'2\r\nab\r\n' * 20_000 + b'0\r\n\r\n'
         )
         await wait_for(lambda: site.calls)
-        parts = list(site.calls[0].body.parts())
+        parts = site.calls[0].body.parts
         assert b''.join(parts) == b'ab' * 20_000
         assert len(parts) <= 4
         site.answers.set()
--- a/wigeonfall/forwarding/bodies.py
+++ b/wigeonfall/forwarding/bodies.py
@@ -1,7 +1,5 @@
 """Bodies of requests, kept in parts so that they are never copied whole."""
 
-from collections.abc import Iterator
-
 import attrs
 
 PART_BYTES = 16 << 10  # what is read at once
@@ -14,29 +12,24 @@
 
     Attributes:
         size: length in bytes.
+        parts: the parts in order.
     """
 
     size: int = 0
-    _parts: list[bytes | bytearray] = attrs.field(factory=list)
+    parts: list[bytes | bytearray] = attrs.field(factory=list)
 
     def append(self, data: bytes) -> None:
         """Add what arrived; short parts share a buffer."""
         self.size += len(data)
-        if len(data) >= _SMALL_PART_BYTES:
-            self._parts.append(data)
+        parts = self.parts
+        if not parts or len(data) >= _SMALL_PART_BYTES:
+            parts.append(data)
             return
-        last = self._parts[-1] if self._parts else None
+        last = parts[-1]
         if isinstance(last, bytearray) and len(last) < PART_BYTES:
             last += data
         else:
-            self._parts.append(bytearray(data))
-
-    def parts(self) -> Iterator[bytes | bytearray]:
-        """Return its parts in order."""
-        return iter(self._parts)
-
-    def __len__(self) -> int:
-        return self.size
+            parts.append(bytearray(data))
 
 
 def make_body(data: 'bytes | Body') -> Body:
--- a/wigeonfall/forwarding/caller_memory.py
+++ b/wigeonfall/forwarding/caller_memory.py
@@ -83,10 +83,6 @@
         """Count the connection no longer."""
         self._account.forget(self.holder)
 
-    def begin(self, now_s: float) -> None:
-        """Count a request that begins to arrive."""
-        self.holder.progress_s = now_s
-
     def set_head(self, head_bytes: int) -> bool:
         """Count what is held of a head; return whether there is room."""
         return self._arrives(Kind.HEADS, head_bytes)
@@ -107,8 +103,10 @@
 
     def complete(self, size: int) -> None:
         """Count a request as complete, which holds so many bytes."""
-        self._set_requests(self._requests_bytes + size)
-        self.drop_arriving()
+        self._requests_bytes += size
+        if self._arriving_counted or self._requests_bytes > UNCOUNTED_BYTES:
+            self._count_requests()
+            self.drop_arriving()
 
     def drop_arriving(self) -> None:
         """Count an incomplete request no longer."""
@@ -124,9 +122,10 @@
 
     def finish(self) -> None:
         """Count the request no longer that was answered, if there is one."""
-        if self._running_bytes:
-            self._set_requests(self._requests_bytes - self._running_bytes)
-            self._running_bytes = 0
+        self._requests_bytes -= self._running_bytes
+        self._running_bytes = 0
+        if self._requests_counted:
+            self._count_requests()
 
     def written(self, unsent_bytes: int) -> bool:
         """Count what the caller has not read; return whether it may stay."""
@@ -139,14 +138,11 @@
             self.holder, Kind.UNREAD, unsent_bytes, now_s
         )
 
-    def _set_requests(self, size: int) -> None:
-        self._requests_bytes = size
-        if size > UNCOUNTED_BYTES:
-            self._requests_counted = True
-            self._account.put(self.holder, Kind.REQUESTS, size)
-        elif self._requests_counted:
-            self._requests_counted = False
-            self._account.put(self.holder, Kind.REQUESTS, 0)
+    def _count_requests(self) -> None:
+        size = self._requests_bytes
+        self._requests_counted = size > UNCOUNTED_BYTES
+        counted_bytes = size if self._requests_counted else 0
+        self._account.put(self.holder, Kind.REQUESTS, counted_bytes)
 
     def _arrives(self, kind: Kind, size: int) -> bool:
         if size <= self.holder.held_bytes[kind]:
--- a/wigeonfall/forwarding/caller_server.py
+++ b/wigeonfall/forwarding/caller_server.py
@@ -278,7 +278,7 @@
     def _start_next(self) -> None:
         call, close, size = self._pending_calls.popleft()
         self._memory.start(size)
-        if not self._pending_calls:
+        if self._reading_paused and not self._pending_calls:
             self._resume_reading()
         self._stop_timer()
         account = self._context.account
@@ -350,7 +350,8 @@
         elif self._rejection is not None:
             self._close_with(self._rejection)
         else:
-            self._resume_reading()
+            if self._reading_paused:
+                self._resume_reading()
             limits = self._context.limits()
             if self._reader.started_s is None:
                 self._start_timer(limits.idle_timeout_s)
--- a/wigeonfall/forwarding/exchange.py
+++ b/wigeonfall/forwarding/exchange.py
@@ -119,7 +119,7 @@
                 return None
             if not self.held.resize(body.size):
                 return None
-        return b''.join(body.parts())
+        return b''.join(body.parts)
 
     def release(self) -> None:
         """Return the connection to the pool if reusable, else close it."""
@@ -220,11 +220,12 @@
         if body is not None and body.size > WRITE_BUFFER_BYTES:
             connection.transport.write(data)
             sending = asyncio.get_running_loop().create_task(
-                connection.write_parts(body.parts())
+                connection.write_parts(body.parts)
             )
         else:
-            parts = body.parts() if body is not None else ()
-            connection.transport.write(b''.join((data, *parts)))
+            if body is not None and body.size:
+                data = b''.join((data, *body.parts))
+            connection.transport.write(data)
         return Exchange(
             connection,
             self,
--- a/wigeonfall/forwarding/request_reader.py
+++ b/wigeonfall/forwarding/request_reader.py
@@ -22,6 +22,7 @@
 
 REQUEST_LINE_BYTES = 1 << 10  # and separators, beside the limit on headers
 MAX_LENGTH_BYTES = 1 << 62  # the parser takes no larger ones
+_NO_BODY = Body()  # never appended to
 _COUNTED_DIGITS = len(str(UNCOUNTED_BYTES))  # of a length that may be counted
 
 
@@ -66,9 +67,11 @@
         self._memory = memory
         self._receiver = receiver
         self._parser = httptools.HttpRequestParser(self)
-        self._framing = FramingBudget(limits().header_bytes)
+        self._framing = FramingBudget(
+            limits().header_bytes + REQUEST_LINE_BYTES
+        )
         self._stopped = False
-        self._header_limit_bytes = limits().header_bytes
+        self._header_limit_bytes = self._body_limit_bytes = 0
         self.received_bytes = 0
         self.started_s: float | None = None
         self.head_complete = False
@@ -80,9 +83,6 @@
         if self._stopped:
             return
         self.received_bytes += len(data)
-        self._framing.most_bytes = (
-            self._limits().header_bytes + REQUEST_LINE_BYTES
-        )
         self._framing.received(data)
         try:
             self._parser.feed_data(data)
@@ -101,9 +101,12 @@
         """Start a new request."""
         self._reset_message()
         if not self._stopped:
-            self._header_limit_bytes = self._limits().header_bytes
+            limits = self._limits()
+            self._header_limit_bytes = limits.header_bytes
+            self._body_limit_bytes = limits.body_bytes
+            self._framing.most_bytes = limits.header_bytes + REQUEST_LINE_BYTES
             self.started_s = time.monotonic()
-            self._memory.begin(self.started_s)
+            self._memory.holder.progress_s = self.started_s
 
     def on_url(self, url: bytes) -> None:
         """Add a part of the path."""
@@ -149,7 +152,7 @@
         if self._body is None:
             self._body = Body()
         size = self._body.size + len(body)
-        if size > self._limits().body_bytes:
+        if size > self._body_limit_bytes:
             self._reject(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         elif size <= UNCOUNTED_BYTES or self._memory.add_body(size):
             self._body.append(body)
@@ -165,7 +168,7 @@
             self._parser.get_method(),
             self._url,
             tuple(self._headers),
-            self._body or b'',
+            self._body or _NO_BODY,
             self.started_s,
         )
         size = self._held_bytes + self._header_bytes + call.body.size
@@ -196,7 +199,7 @@
         size = decoding.whole_number(length, MAX_LENGTH_BYTES)
         if size is None or self._stopped:
             return
-        if size > self._limits().body_bytes:
+        if size > self._body_limit_bytes:
             self._reject(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         elif not self._memory.reserve_body(size):
             self._refuse()
