--- a/wigeonfall/commands/place.py
+++ b/wigeonfall/commands/place.py
@@ -113,8 +113,8 @@
     try:
         with urllib3.PoolManager(timeout=TIMEOUT_S, retries=False) as pool:
             response = pool.request('GET', url, headers=headers)
-        if response.status == 404:
-            _fail(f'{instance}: no such page; is it an instance?')
+        if response.status not in (200, 400):
+            _fail(f'{instance}: status {response.status} instead of the page')
         told = json.loads(response.data)
     except (urllib3.exceptions.HTTPError, ValueError) as error:
         _fail(f'{instance}: {error}')
