--- a/tests/policy/test_cold_targets.py
+++ b/tests/policy/test_cold_targets.py
@@ -11,7 +11,7 @@
 from wigeonfall.policy.targets.cold_targets import ColdTargets
 from wigeonfall.policy.targets.cold_targets import PacedShare
 from wigeonfall.policy.targets.load_balancer import LoadBalancer
-from wigeonfall.policy.targets.load_balancer import TimeBudget
+from wigeonfall.policy.targets.target_choice import TimeBudget
 from wigeonfall.policy.targets.target_stats import RequestSize
 
 ENDURED_PER_S = 16.0
--- a/tests/policy/test_load_balancer.py
+++ b/tests/policy/test_load_balancer.py
@@ -4,8 +4,8 @@
 
 from wigeonfall.model.target import Target
 from wigeonfall.policy.targets.load_balancer import LoadBalancer
-from wigeonfall.policy.targets.load_balancer import TimeBudget
 from wigeonfall.policy.targets.moving_average import PeerAverage
+from wigeonfall.policy.targets.target_choice import TimeBudget
 from wigeonfall.policy.targets.target_stats import PeerLoad
 from wigeonfall.policy.targets.target_stats import RequestSize
 from wigeonfall.policy.targets.target_stats import TargetLoad
--- a/tests/policy/test_target_signals.py
+++ b/tests/policy/test_target_signals.py
@@ -6,7 +6,7 @@
 
 from wigeonfall.model.target import Target
 from wigeonfall.policy.targets.load_balancer import LoadBalancer
-from wigeonfall.policy.targets.load_balancer import TimeBudget
+from wigeonfall.policy.targets.target_choice import TimeBudget
 from wigeonfall.policy.targets.target_signals import MAX_PAUSE_S
 from wigeonfall.policy.targets.target_signals import parse_pause_s
 from wigeonfall.policy.targets.target_signals import says_leaving
--- a/wigeonfall/forwarding/attempt.py
+++ b/wigeonfall/forwarding/attempt.py
@@ -69,7 +69,7 @@
     observations: Observations
     names: HeaderNames
     on_prompt_read: Callable[[Slot], None]
-    on_misdirected: Callable[[Target], None]
+    on_misdirected: Callable[[Target], object]
     on_outcome: Callable[[RoutedRequest, Target, bool, float], None]
     on_time: Callable[[RoutedRequest, Target, float], None]
     parts: PartWatch
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -13,17 +13,11 @@
 from ..events import Event
 from . import internal_pages
 from ..model.routing import CallerLimits
-from ..model.target import Target
 from . import place_page
 from ..policy import memory
-from ..policy.memory import Cause
-from ..policy.room import resend_budget
-from ..policy.room.terms import RoomTerms
 from ..policy.room import token_quota
-from ..policy.targets.cold_targets import PacedShare
 from ..policy.targets.kept_parts import KeptParts
 from ..policy.targets.load_balancer import LoadBalancer
-from ..policy.targets.load_balancer import target_key
 from ..policy.targets.quarantine import Quarantines
 from ..policy.versions.version_trial import Trials
 from ..recorder import Record
@@ -41,6 +35,7 @@
 from .exchange import ConnectionPool
 from .internal_pages import Page
 from .internal_pages import QuestionPage
+from .maintenance import Maintenance
 from .observations import Observations
 from .part_watch import PartWatch
 from .peer_news import NewsExchange
@@ -108,9 +103,9 @@
             self._balancer,
             lambda service: self._cluster_state.target_names.get(service, ()),
             lambda: self._peers.loads(time.monotonic()),
-            self._on_load_change,
+            lambda: self._link.send_soon(),
             KeptParts(self._cluster_state.memory_tokens),
-            self._room_terms,
+            lambda: self._settings.shares.terms(self._customer_quotas.rate_of),
             record,
         )
         self._rollouts = Rollouts(
@@ -162,7 +157,16 @@
             send_on_change=lambda: (
                 not self._topology.uses_hubs(time.monotonic())
             ),
-            news=self._make_news_exchange(),
+            news=NewsExchange(
+                name=self._settings.instance.name,
+                incarnation=self._states.incarnation,
+                part_watch=self._part_watch,
+                rates=self._balancer.rates,
+                signals=self._balancer.signals,
+                peers_count=lambda now_s: not self._topology.uses_hubs(now_s),
+                is_hub=self._topology.passes_counts_on,
+                record=self.record,
+            ),
             record=record,
         )
         self._observations = Observations(self._balancer, record)
@@ -176,8 +180,24 @@
             send=self._link.send_message,
             record=record,
         )
-        self._balancer.cold.share_of = self._paced_share
-        self._live_names: frozenset[str] = frozenset()
+        self._balancer.cold.share_of = lambda now_s: (
+            self._topology.paced_share(
+                self._arbiter.client_count(now_s), now_s
+            )
+        )
+        self._maintenance = Maintenance(
+            account=self.account,
+            arbiter=self._arbiter,
+            balancer=self._balancer,
+            cluster_state=self._cluster_state,
+            connections=self._connections,
+            limits=self.limits,
+            peers=self._peers,
+            quotas=self._quotas,
+            scheduler=self._scheduler,
+            topology=self._topology,
+            record=record,
+        )
         self._leaving = False
         self._stop_deadline = StopDeadline()
         self._watches = True
@@ -227,15 +247,6 @@
                 detail=repr(error),
             )
 
-    def record_closed(self, caller: str, cause: Cause, held: int) -> None:
-        """Record that a caller was closed or refused for its memory."""
-        self.record(
-            Event.CALLER_CLOSED,
-            caller=caller,
-            cause=cause.value,
-            held_bytes=held,
-        )
-
     def limits(self) -> CallerLimits:
         """Return the current limits on requests of callers."""
         index = self._cluster_state.routing_index
@@ -291,41 +302,12 @@
 
     def run_maintenance(self, now_s: float) -> None:
         """Drop expired connections and peers, and update what they affect."""
-        self._connections.close_idle(now_s)
-        self.account.sweep(now_s, self.limits().idle_timeout_s)
-        self._record_peer_changes(now_s)
         self._update_watching(now_s)
-        self._arbiter.drop_silent_clients(now_s)
-        self._peers.drop_silent(now_s)
-        self._quotas.keep_peers(self._peers.known_names(now_s))
-        self._cluster_state.refresh(now_s)
-        self._balancer.set_peer_loads(self._peers.loads(now_s))
-        self._scheduler.update_kept(
-            (stats.target.name for stats in self._balancer.all_stats()),
-            self._topology.places_all(now_s),
-        )
-        rates = self._balancer.rates
-        rates.keep_peers(self._peers.known_names(now_s))
-        rates.set_share(self._topology.limit_share(now_s))
-        self._balancer.signals.keep(
-            (target_key(s.target) for s in self._balancer.all_stats()), now_s
-        )
-
-    def _record_peer_changes(self, now_s: float) -> None:
-        live = self._peers.live_names(now_s)
-        for name in sorted(self._live_names - live):
-            self.record(Event.PEER_UNREACHABLE, peer=name)
-        for name in sorted(live - self._live_names):
-            self.record(Event.PEER_REACHABLE, peer=name)
-        self._live_names = live
+        self._maintenance.run(now_s)
 
     def _handler_context(self) -> call_handler.HandlerContext:
         count_request, allow_resend = resend_budgets.make_resend_budgets(
-            lambda: resend_budget.ResendLimits(
-                self._settings.retry.ratio,
-                self._settings.retry.slack_requests,
-                self._settings.retry.window_s,
-            ),
+            lambda: self._settings.retry,
             lambda: self._peers.fleet_size(time.monotonic()),
         )
         return call_handler.HandlerContext(
@@ -337,7 +319,11 @@
                 observations=self._observations,
                 names=self.adapter.header_names,
                 on_prompt_read=self._slot_client.mark_prompt_read,
-                on_misdirected=self._on_misdirected,
+                on_misdirected=lambda target: (
+                    self._balancer.record_broken_connection(
+                        target.name, time.monotonic()
+                    )
+                ),
                 on_outcome=self._rollouts.add_evidence,
                 on_time=self._rollouts.add_time,
                 parts=self._part_watch,
@@ -354,18 +340,6 @@
             record=self.record,
         )
 
-    def _make_news_exchange(self) -> NewsExchange:
-        return NewsExchange(
-            name=self._settings.instance.name,
-            incarnation=self._states.incarnation,
-            part_watch=self._part_watch,
-            rates=self._balancer.rates,
-            signals=self._balancer.signals,
-            peers_count=lambda now_s: not self._topology.uses_hubs(now_s),
-            is_hub=self._topology.passes_counts_on,
-            record=self.record,
-        )
-
     def _slot_client_context(self) -> slot_client.SlotClientContext:
         settings = self._settings
         return slot_client.SlotClientContext(
@@ -387,24 +361,6 @@
             record=self.record,
         )
 
-    def _paced_share(self, now_s: float) -> PacedShare:
-        return self._topology.paced_share(
-            self._arbiter.client_count(now_s), now_s
-        )
-
-    def _on_misdirected(self, target: Target) -> None:
-        """Record that a target's address now belongs to another target."""
-        self._balancer.record_broken_connection(target.name, time.monotonic())
-
-    def _room_terms(self) -> RoomTerms:
-        shares = self._settings.shares
-        return RoomTerms(
-            shares.floor, shares.booked, self._customer_quotas.rate_of
-        )
-
-    def _on_load_change(self) -> None:
-        self._link.send_soon()
-
     def _update_watching(self, now_s: float) -> None:
         """Update whether this instance or a peer watches the store."""
         self._watches = self._topology.watches_store(now_s)
--- a/wigeonfall/forwarding/process.py
+++ b/wigeonfall/forwarding/process.py
@@ -25,6 +25,7 @@
 from ..metrics import counting
 from ..metrics import Metrics
 from ..metrics import show_account
+from ..policy.memory import Cause
 from . import settings as settings_module
 from .caller_server import ServerContext
 from .instance import Instance
@@ -138,7 +139,18 @@
             limits=self._instance.limits,
             closing=self._stopping.is_set,
             account=self._instance.account,
-            on_closed=self._instance.record_closed,
+            on_closed=self._record_closed,
+        )
+
+    def _record_closed(
+        self, caller: str, cause: Cause, held_bytes: int
+    ) -> None:
+        """Record that a caller was closed or refused for its memory."""
+        self._record(
+            Event.CALLER_CLOSED,
+            caller=caller,
+            cause=cause.value,
+            held_bytes=held_bytes,
         )
 
     async def _listen(self, context: ServerContext) -> list[asyncio.Server]:
--- a/wigeonfall/forwarding/resend_budgets.py
+++ b/wigeonfall/forwarding/resend_budgets.py
@@ -3,16 +3,17 @@
 from collections.abc import Callable
 
 from ..policy.room import resend_budget
+from .settings import RetrySettings
 
 
 def make_resend_budgets(
-    limits: Callable[[], resend_budget.ResendLimits],
+    settings: Callable[[], RetrySettings],
     fleet_size: Callable[[], int],
 ) -> tuple[Callable[[str, float], None], Callable[[str, float], bool]]:
     """Make a resend budget for each service.
 
     Args:
-        limits: returns the limits in force.
+        settings: returns the settings in force.
         fleet_size: returns the number of instances, which share the budget.
 
     Returns:
@@ -27,6 +28,10 @@
 
     def allow_resend(service: str, now_s: float) -> bool:
         budget = budgets.setdefault(service, resend_budget.ResendBudget())
-        return budget.take(limits(), fleet_size(), now_s)
+        retry = settings()
+        limits = resend_budget.ResendLimits(
+            retry.ratio, retry.slack_requests, retry.window_s
+        )
+        return budget.take(limits, fleet_size(), now_s)
 
     return count_request, allow_resend
--- a/wigeonfall/forwarding/settings.py
+++ b/wigeonfall/forwarding/settings.py
@@ -1,5 +1,6 @@
 """Settings of a process that forwards requests by host and path."""
 
+from collections.abc import Callable
 from collections.abc import Mapping
 import pathlib
 
@@ -12,6 +13,7 @@
 from ..policy.room import expected_room
 from ..policy.room import kind_shares
 from ..policy.room import resend_budget
+from ..policy.room.terms import RoomTerms
 from ..policy.room import token_quota
 from ..settings import InstanceSettings
 from ..settings import LogSettings
@@ -152,6 +154,10 @@
     floor: float = kind_shares.DEFAULT_FLOOR
     booked: float = expected_room.BOOKED_SHARE
 
+    def terms(self, rate_of: Callable[[str], float]) -> RoomTerms:
+        """Return the terms of queues; rate_of returns a customer's rate."""
+        return RoomTerms(self.floor, self.booked, rate_of)
+
 
 @attrs.frozen
 class ForwardingSettings:
--- a/wigeonfall/forwarding/slot_client.py
+++ b/wigeonfall/forwarding/slot_client.py
@@ -6,14 +6,11 @@
 
 import asyncio
 from collections.abc import Callable
-import itertools
 import time
-from typing import TypeAlias
 
 import attrs
 
 from ..events import Event
-from ..model.prompt import PromptPart
 from ..policy import arbiters
 from ..policy.arbiters import Candidate
 from ..policy.room.pending import PendingRequest
@@ -24,12 +21,15 @@
 from .arbiter_messages import ClientState
 from .arbiter_messages import Grant
 from .arbiter_messages import HeldSlot
-from .arbiter_messages import SlotRequest
 from .observations import Observations
 from .scheduler import Decision
 from .scheduler import NoRoom
 from .scheduler import Scheduler
 from .scheduler import Slot
+from .slot_requests import AcquireResult
+from .slot_requests import NoArbiter
+from .slot_requests import slot_request
+from .slot_requests import WaitingRequest
 
 SEND_DELAY_S = 0.003  # changes within it share a datagram
 TICK_S = 0.02
@@ -38,30 +38,9 @@
 REFRESH_INTERVAL_S = 0.25  # between messages while slots are held
 FINAL_SENDS = 2  # of a state with no slots left, as datagrams may be lost
 ARBITER_TIMEOUT_S = 0.2  # without a reply; far below the goals of callers
-MAX_SENT_PARTS = 16  # of a prompt; a kept part needs all before it
-MAX_PART_ID_CHARS = 64
 ARBITER_SUSPECT_S = 1.0  # an arbiter that timed out is not chosen meanwhile
 
 
-AcquireResult: TypeAlias = Decision | OverLimit
-
-
-@attrs.frozen
-class NoArbiter:
-    """The result of a request that no arbiter can decide on."""
-
-
-@attrs.define
-class _Waiting:
-    """A request that waits for a decision of the arbiter."""
-
-    service: str
-    pending: PendingRequest
-    charge: Charge | None
-    ineligible: set[str]
-    future: 'asyncio.Future[AcquireResult | NoArbiter]'
-
-
 @attrs.frozen
 class SlotClientContext:
     """What a slot client needs.
@@ -106,7 +85,7 @@
 
     def __init__(self, context: SlotClientContext) -> None:
         self._context = context
-        self._waiting: dict[str, _Waiting] = {}
+        self._waiting: dict[str, WaitingRequest] = {}
         self._held: dict[str, tuple[str, Slot]] = {}
         self._arbiter: Candidate | None = None
         self._suspect_until_s: dict[str, float] = {}
@@ -260,7 +239,7 @@
         self, service: str, pending: PendingRequest, charge: Charge | None
     ) -> AcquireResult | NoArbiter:
         loop = asyncio.get_running_loop()
-        waiting = _Waiting(
+        waiting = WaitingRequest(
             service,
             pending,
             charge,
@@ -301,7 +280,7 @@
                 context.refund_tokens(charge.customer, charge.tokens)
         return decision
 
-    def _accept_grant(self, waiting: _Waiting, grant: Grant) -> None:
+    def _accept_grant(self, waiting: WaitingRequest, grant: Grant) -> None:
         pending = waiting.pending
         balancer = self._context.scheduler.balancer
         known = balancer.stats_of((grant.target,))
@@ -348,7 +327,7 @@
         if self._arbiter is None:
             return
         requests = tuple(
-            _slot_request(waiting, now_s)
+            slot_request(waiting, now_s)
             for waiting in self._waiting.values()
             if not waiting.future.done()
         )
@@ -379,39 +358,3 @@
         if requests and self._unanswered_since_s is None:
             self._unanswered_since_s = now_s
         self._context.send(message, self._arbiter.address)
-
-
-def _sent_parts(parts: tuple[PromptPart, ...]) -> tuple[PromptPart, ...]:
-    """Return the parts to tell the arbiter, whose datagrams are limited."""
-    return tuple(
-        itertools.takewhile(
-            lambda part: len(part.id) <= MAX_PART_ID_CHARS,
-            parts[:MAX_SENT_PARTS],
-        )
-    )
-
-
-def _slot_request(waiting: _Waiting, now_s: float) -> SlotRequest:
-    pending = waiting.pending
-    charge = waiting.charge
-    return SlotRequest(
-        id=pending.id,
-        service=waiting.service,
-        rank=pending.rank,
-        is_retry=pending.is_retry,
-        age_s=round(now_s - pending.arrived_s, 3),
-        goal_s=round(pending.goal_s - now_s, 3),
-        patience_s=round(pending.patience_s - now_s, 3),
-        time_left_s=round(pending.deadline_s - now_s, 3),
-        wait_left_s=round(pending.queue_deadline_s - now_s, 3),
-        prompt_tokens=pending.size.prompt_tokens,
-        answer_tokens=pending.size.answer_tokens,
-        ineligible=tuple(waiting.ineligible),
-        customer=charge.customer if charge else '',
-        tokens=charge.tokens if charge else 0.0,
-        charge_is_retry=charge.is_retry if charge else False,
-        most_wait_s=round(charge.most_wait_s, 3) if charge else 0.0,
-        kind=pending.kind,
-        holder=pending.customer,
-        parts=_sent_parts(pending.parts),
-    )
--- a/wigeonfall/policy/room/rehearsal.py
+++ b/wigeonfall/policy/room/rehearsal.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from ..targets.load_balancer import TimeBudget
+from ..targets.target_choice import TimeBudget
 from ..targets.target_stats import TargetEstimate
 from .pending import PendingRequest
 from .waiting import RequestQueue
@@ -161,7 +161,7 @@
         pending.patience_s - now_s,
         pending.deadline_s - now_s,
     )
-    options = trial.balancer.options(
+    options = trial.balancer.choice.options(
         estimates, pending.size, budget, lambda name: kept.get(name, 0.0)
     )
     scores = []
--- a/wigeonfall/policy/room/waiting.py
+++ b/wigeonfall/policy/room/waiting.py
@@ -27,8 +27,8 @@
 from ..targets.kept_parts import holds_nothing
 from ..targets.kept_parts import KeptParts
 from ..targets.load_balancer import LoadBalancer
-from ..targets.load_balancer import TimeBudget
 from ..targets.moving_average import MovingAverage
+from ..targets.target_choice import TimeBudget
 from ..targets.target_stats import TargetEstimate
 from ..targets.target_stats import TargetStats
 from .best_times import BestTimes
@@ -42,6 +42,7 @@
 from .order import CLASSES
 from .order import Precedence
 from .patience import RETRY_SHARE
+from .peer_share import PeerShare
 from .pending import PendingRequest
 from .rank_shares import RankShares
 from .terms import RoomTerms
@@ -53,10 +54,8 @@
 CROWDED_SHARE = 0.1  # of the slots; calm days have fewer requests waiting
 HOPELESS_FACTOR = 1.5  # error of an expected wait
 MAX_PASSED_OVER = 200  # requests that fit no open target, in one pass
-SHARE_PERIOD_S = 0.05  # period in which peers exchange their state
 
-# Class, whether its customer used more than its part, arrival, identifier.
-_Position: TypeAlias = tuple[int, bool, float, str]
+_Position: TypeAlias = tuple[int, bool, float, str]  # as of _position
 
 
 class RequestQueue:
@@ -82,9 +81,7 @@
         self._terms = terms
         self._pending: dict[str, PendingRequest] = {}
         self._deadlines: list[tuple[float, str]] = []
-        self._freed_slots = 0
-        self._drawn_s = 0.0
-        self._drawn_slots = 0
+        self._share = PeerShare(draw)
         self._order: list[_Position] = []
         self._new: list[PendingRequest] = []
         self._ordered_s = float('-inf')
@@ -171,7 +168,7 @@
 
     def slot_freed(self) -> None:
         """Count a slot that a request of this instance has freed."""
-        self._freed_slots += 1
+        self._share.freed_slots += 1
 
     def pop_expired(self, now_s: float) -> list[PendingRequest]:
         """Remove and return the requests past their queue deadline."""
@@ -230,7 +227,10 @@
         """
         estimates = self._balancer.estimates(names, now_s)
         self._update_order(estimates, peers_waiting, now_s)
-        self._draw_share(estimates, peers_waiting, now_s)
+        if self._pending:
+            self._share.draw(
+                self.counts_by_class(), estimates, peers_waiting, now_s
+            )
         slots = sum(e.stats.limit for e in estimates)
         crowded = len(self._pending) > CROWDED_SHARE * slots
         open_targets = {
@@ -245,7 +245,7 @@
             pending = self._pending.get(pending_id)
             if pending is None:
                 continue
-            if not self._may_dispatch(number, peers_waiting):
+            if not self._share.allows(number, peers_waiting):
                 return
             kept = self._kept.kept_tokens(pending.parts, open_targets, now_s)
             chosen = self._choose(
@@ -256,7 +256,7 @@
                 continue
             del self._pending[pending_id]
             self._count_served(pending)
-            self._count_dispatch(peers_waiting)
+            self._share.count_dispatch(peers_waiting)
             name = chosen.stats.target.name
             size = pending.size.without(kept.get(name, 0.0))
             self._balancer.request_sent(name, size)
@@ -267,7 +267,7 @@
             if name in kept:
                 pending = attrs.evolve(pending, kept_tokens=kept[name])
             yield pending, chosen.stats
-        self._freed_slots = 0
+        self._share.freed_slots = 0
 
     def _count_served(self, pending: PendingRequest) -> None:
         work_s = self._work.of(pending.size)
@@ -307,8 +307,7 @@
         )
 
     def _is_short(self, pending: PendingRequest) -> bool:
-        work_s = self._work.of(pending.size)
-        return work_s < self._mean_work_s.value
+        return self._work.of(pending.size) < self._mean_work_s.value
 
     def _update_order(
         self,
@@ -398,38 +397,3 @@
                 heapq.heappush(self._deadlines, (now_s, pending_id))
             else:
                 ahead_s += self._work.of(pending.size)
-
-    def _may_dispatch(
-        self, own: int, peers_waiting: Mapping[int, int]
-    ) -> bool:
-        competing = sum(n for c, n in peers_waiting.items() if c <= own)
-        if not competing:
-            return True
-        ahead = any(n for c, n in peers_waiting.items() if c < own)
-        return self._drawn_slots > 0 or (self._freed_slots > 0 and not ahead)
-
-    def _count_dispatch(self, peers_waiting: Mapping[int, int]) -> None:
-        if not any(peers_waiting.values()):
-            return
-        if self._freed_slots:
-            self._freed_slots -= 1
-        elif self._drawn_slots:
-            self._drawn_slots -= 1
-
-    def _draw_share(
-        self,
-        estimates: list[TargetEstimate],
-        peers_waiting: Mapping[int, int],
-        now_s: float,
-    ) -> None:
-        if now_s - self._drawn_s < SHARE_PERIOD_S or not self._pending:
-            return
-        self._drawn_s = now_s
-        counts = self.counts_by_class()
-        first = min(counts)
-        own = counts[first]
-        ahead = sum(n for c, n in peers_waiting.items() if c < first)
-        same = peers_waiting.get(first, 0)
-        free = sum(max(0, int(e.free_slots)) for e in estimates) - ahead
-        share = max(0.0, free * own / max(1, own + same))
-        self._drawn_slots = int(share) + (self._draw() < share - int(share))
