--- a/tests/policy/test_overload.py
+++ b/tests/policy/test_overload.py
@@ -57,7 +57,7 @@
     assert counts['report'].share == counts['answer'].share == 1.0
 
 
-@pytest.mark.parametrize('seed', (0, 1, 2, 30))
+@pytest.mark.parametrize('seed', (0, 1, 2, 30, 35))
 def test_short_requests_use_up_limits_that_long_ones_need(seed):
     """All fit if long ones go to the targets that limit their rate."""
     limited = Phase(40.0, limited=0.8, limit_per_s=2.0)
