Spread the first requests of a start over all targets

When a whole fleet starts, an instance knows neither targets nor peers for some tenths of a second. All unknown targets cost nothing, so every instance sent its first requests to the first target of the list, and those of 84 instances filled its queue while others were idle. Unknown targets are told apart by the requests sent there, then by their data centre, then in an order of each instance's own.

--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -70,7 +70,8 @@
         self.record = record
         self._settings = settings
         self._store = adapter.make_store(settings.platform.address)
-        self._balancer = LoadBalancer(settings.instance.data_center)
+        own = settings.instance
+        self._balancer = LoadBalancer(own.data_center, own.name)
         trials = Trials()
         self._cluster_state = ClusterState(
             adapter,
@@ -142,9 +143,7 @@
             watches_store=lambda: self._watches,
         )
         self._part_watch = PartWatch(
-            Quarantines(settings.instance.name),
-            self._peers.fleet_size,
-            record,
+            Quarantines(own.name), self._peers.fleet_size, record
         )
         self._link = PeerLink(
             make_state=lambda: self._states.make_state(time.monotonic()),
--- a/wigeonfall/policy/targets/load_balancer.py
+++ b/wigeonfall/policy/targets/load_balancer.py
@@ -46,6 +46,7 @@
 
     Args:
         data_center: data centre of this instance.
+        name: name of this instance.
 
     Attributes:
         rates: request rates that targets accept.
@@ -54,11 +55,11 @@
         choice: compares targets for a request.
     """
 
-    def __init__(self, data_center: str) -> None:
+    def __init__(self, data_center: str, name: str = '') -> None:
         self.rates = TargetRates()
         self.signals = TargetSignals()
         self.cold = ColdTargets()
-        self.choice = TargetChoice(data_center)
+        self.choice = TargetChoice(data_center, name)
         self._stats: dict[str, TargetStats] = {}
         self._estimates: dict[str, TargetEstimate] = {}
         self._estimated_s = 0.0
--- a/wigeonfall/policy/targets/target_choice.py
+++ b/wigeonfall/policy/targets/target_choice.py
@@ -3,12 +3,18 @@
 Load pattern: targets of unlike speed and load are open at the same time, and a
 long prompt delays all streams at the target that it goes to. Expected times
 and what a request costs the others there are compared.
+
+When a whole fleet starts, nothing is known of any target, and no instance
+hears another yet. Targets that cost the same are told apart by their requests
+and their data centre, and then in an order that differs from instance to
+instance, so that not all send to the same one.
 """
 
 from collections.abc import Callable
 from collections.abc import Iterable
 
 import attrs
+import xxhash
 
 from .kept_parts import holds_nothing
 from .kept_parts import Option
@@ -45,9 +51,11 @@
 
     Attributes:
         data_center: data centre of this instance.
+        name: name of this instance.
     """
 
     data_center: str
+    name: str = ''
 
     def choose(
         self,
@@ -115,7 +123,10 @@
         if kept_tokens is holds_nothing:
             return min(
                 chosen_from,
-                key=lambda e: self._cost(e, e.first_s(size), size, budget),
+                key=lambda e: (
+                    self._cost(e, e.first_s(size), size, budget),
+                    *self._tie(e),
+                ),
                 default=None,
             )
         options = self.options(chosen_from, size, budget, kept_tokens)
@@ -143,6 +154,15 @@
             options.append((estimate, option))
         return options
 
+    def _tie(self, estimate: TargetEstimate) -> tuple[int, bool, int]:
+        """Return what tells targets of the same cost apart."""
+        if estimate.prefill_s > 0:
+            return 0, False, 0
+        target = estimate.stats.target
+        order = xxhash.xxh32_intdigest(f'{self.name}/{target.name}'.encode())
+        remote = target.data_center != self.data_center
+        return estimate.outstanding, remote, order
+
     def _cost(
         self,
         estimate: TargetEstimate,
