Keep few parts of a prompt, as callers may name thousands

A head of legal size names five thousand parts, which took 0.8 MB as objects for as long as the call ran, and the callers told to return were remembered by all of theirs. The first sixteen decide where a request goes; the watch on parts that crash targets reads the others from the header when it needs them, and callers are remembered by a hash.

Result: two new tests, the first of which fails without the change.

--- a/tests/forwarding/test_routed_request.py
+++ b/tests/forwarding/test_routed_request.py
@@ -5,6 +5,8 @@
 from tests.policy.test_routing import make_index
 from tests.policy.test_routing import make_route
 from wigeonfall.forwarding.calls import Call
+from wigeonfall.forwarding.routed_request import MAX_PART_ID_CHARS
+from wigeonfall.forwarding.routed_request import MAX_PARTS
 from wigeonfall.forwarding.routed_request import route_call
 from wigeonfall.forwarding.routed_request import ROUTE_RANKS
 from wigeonfall.forwarding.routed_request import target_request
@@ -77,3 +79,19 @@
     assert b'Last-Event-Id: 7\r\n' in data
     data = target_request(request, HEADER_NAMES, 't1', '', 100.5)
     assert b'last-event-id: 3\r\n' in data
+
+
+def test_thousands_of_prompt_parts_are_not_kept():
+    """5,000 parts of a legal head took 0.8 MB for as long as a call ran."""
+    header = b','.join(b'%x:1' % number for number in range(5000))
+    request = routed((b'parts', header)).ok_value
+    assert len(request.parts) == MAX_PARTS
+    assert len(request.prompt_parts) == 5000
+
+
+def test_parts_after_one_with_a_long_name_do_not_count():
+    long_name = b'x' * (MAX_PART_ID_CHARS + 1)
+    header = b'a:60, a:70, ' + long_name + b':5, b:7'
+    request = routed((b'parts', header)).ok_value
+    assert [(p.id, p.tokens) for p in request.parts] == [('a', 60)]
+    assert request.prompt_parts == ('a', long_name.decode(), 'b')
--- a/wigeonfall/forwarding/routed_request.py
+++ b/wigeonfall/forwarding/routed_request.py
@@ -19,6 +19,8 @@
 from .header_names import HeaderNames
 
 MAX_NUMBER = 2**53  # in headers of callers; larger ones count as this
+MAX_PARTS = 16  # of a prompt, by which it is placed
+MAX_PART_ID_CHARS = 64
 ROUTE_RANKS = 16  # ranks of routes within one rank of customers
 _HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -51,8 +53,10 @@
             served first.
         tokens: tokens that it counts against the customer's quota.
         size: prompt and answer tokens, by which its load is estimated.
-        parts: parts of its prompt, in order. Other requests may share them,
-            those of its session also the last one.
+        parts: first parts of its prompt, in order, by which it is placed.
+            Other requests may share them, those of its session also the last
+            one. Kept few, as callers may name thousands.
+        prompt_header: all parts, as the caller named them.
         deadline_s: end of the caller's or the route's time limit, whichever
             is first, on the monotonic clock.
         caller_timeout_s: time that the caller waits from its arrival.
@@ -67,13 +71,21 @@
     tokens: float
     size: RequestSize
     parts: tuple[PromptPart, ...]
+    prompt_header: bytes
     deadline_s: float
     caller_timeout_s: float
 
     @property
     def prompt_parts(self) -> tuple[str, ...]:
-        """Identifiers of the parts of its prompt, in order."""
-        return tuple(part.id for part in self.parts)
+        """Identifiers of all parts of its prompt, in order.
+
+        They are not kept: thousands of them take many times their header.
+        """
+        names = (
+            entry.partition(':')[0].strip()
+            for entry in self.prompt_header.decode('latin-1').split(',')
+        )
+        return tuple(dict.fromkeys(filter(None, names)))
 
 
 @attrs.frozen
@@ -117,6 +129,7 @@
     request_id = ids[0].decode('latin-1')
     caller_timeout_s = _time_left_s(call, names, route)
     prompt, answer = _token_counts(call, names)
+    prompt_header = call.header(names.prompt_parts.lower())
     return Ok(
         RoutedRequest(
             id=request_id,
@@ -127,7 +140,8 @@
             rank=_rank(route, customer),
             tokens=_tokens(customer, prompt, answer),
             size=RequestSize(prompt, answer),
-            parts=_prompt_parts(call, names),
+            parts=_first_parts(prompt_header),
+            prompt_header=prompt_header,
             deadline_s=call.arrived_s + min(caller_timeout_s, route.timeout_s),
             caller_timeout_s=caller_timeout_s,
         )
@@ -236,12 +250,17 @@
     return prompt, answer
 
 
-def _prompt_parts(call: Call, names: HeaderNames) -> tuple[PromptPart, ...]:
-    """Return the parts of a prompt; one without a length counts as empty."""
+def _first_parts(header: bytes) -> tuple[PromptPart, ...]:
+    """Return the first parts of a prompt; one without a length is empty.
+
+    A kept part needs all before it, so that none follows a long name.
+    """
     parts: dict[str, PromptPart] = {}
-    for entry in call.header(names.prompt_parts.lower()).split(b','):
+    for entry in header.split(b',', MAX_PARTS)[:MAX_PARTS]:
         name, _, length = entry.partition(b':')
         part_id = name.strip().decode('latin-1')
+        if len(part_id) > MAX_PART_ID_CHARS:
+            break
         tokens = decoding.whole_number(length.strip(), MAX_NUMBER)
         if part_id:
             parts.setdefault(part_id, PromptPart(part_id, tokens or 0))
--- a/wigeonfall/forwarding/slot_requests.py
+++ b/wigeonfall/forwarding/slot_requests.py
@@ -1,20 +1,16 @@
 """Requests that wait for a decision of the arbiter, and what it is told."""
 
 import asyncio
-import itertools
 from typing import TypeAlias
 
 import attrs
 
-from ..model.prompt import PromptPart
 from ..policy.room.pending import PendingRequest
 from ..policy.room.token_quota import Charge
 from ..policy.room.token_quota import OverLimit
 from .arbiter_messages import SlotRequest
 from .scheduler import Decision
 
-MAX_SENT_PARTS = 16  # of a prompt; a kept part needs all before it
-MAX_PART_ID_CHARS = 64
 
 AcquireResult: TypeAlias = Decision | OverLimit
 
@@ -35,16 +31,6 @@
     future: 'asyncio.Future[AcquireResult | NoArbiter]'
 
 
-def _sent_parts(parts: tuple[PromptPart, ...]) -> tuple[PromptPart, ...]:
-    """Return the parts to tell the arbiter, whose datagrams are limited."""
-    return tuple(
-        itertools.takewhile(
-            lambda part: len(part.id) <= MAX_PART_ID_CHARS,
-            parts[:MAX_SENT_PARTS],
-        )
-    )
-
-
 def slot_request(waiting: WaitingRequest, now_s: float) -> SlotRequest:
     """Return what the arbiter is told of a request."""
     pending = waiting.pending
@@ -68,5 +54,5 @@
         most_wait_s=round(charge.most_wait_s, 3) if charge else 0.0,
         kind=pending.kind,
         holder=pending.customer,
-        parts=_sent_parts(pending.parts),
+        parts=pending.parts,
     )
--- a/wigeonfall/policy/room/bookings.py
+++ b/wigeonfall/policy/room/bookings.py
@@ -14,8 +14,6 @@
 
 import attrs
 
-from ...model.prompt import PromptPart
-from ..targets.target_stats import RequestSize
 from .pending import PendingRequest
 
 EARLY_S = 0.1  # before its time a caller may return
@@ -24,7 +22,7 @@
 SAME_DEADLINE_SHARE = 0.5  # of the time since; routes may shorten the first
 MAX_RETURNS = 4096  # remembered for one service
 
-_Key: TypeAlias = tuple[str, str, RequestSize, tuple[PromptPart, ...]]
+_Key: TypeAlias = int  # holds none of the bytes that callers send
 
 
 @attrs.frozen
@@ -133,4 +131,4 @@
 
 
 def _key(pending: PendingRequest) -> _Key:
-    return pending.kind, pending.customer, pending.size, pending.parts
+    return hash((pending.kind, pending.customer, pending.size, pending.parts))
