Take refunds only from what may have been charged for the request

Refunds were taken from the oldest entries of a window, also from those long before the charge. A burst of refused requests then left newer entries than it had used, and kept its customer out for up to a whole window. Requests wait 3.5 s at most, so that older entries keep their tokens.

--- a/tests/policy/test_token_quota.py
+++ b/tests/policy/test_token_quota.py
@@ -339,6 +339,16 @@
         assert window.used_tokens >= sum(due)
 
 
+def test_refunds_leave_alone_what_was_used_long_before():
+    """A burst that was refused kept its customer out for a whole window."""
+    window = UsageWindow()
+    window.add(100, 0.0)
+    window.add(300, 7.0)
+    window.add(-300, 7.5)
+    window.drop_old(token_quota.WINDOW_S, 8.1)
+    assert window.used_tokens == 0
+
+
 def test_a_lowered_limit_is_used_besides_the_one_before_in_one_window():
     quotas = TokenQuotas()
     charge = Charge('c', LIMIT_TOKENS, False)
--- a/wigeonfall/policy/room/usage_window.py
+++ b/wigeonfall/policy/room/usage_window.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Collection
+from collections.abc import Iterable
 import heapq
 
 import attrs
@@ -10,6 +11,7 @@
 MIN_DELAY_S = 0.2
 RESERVED_BEFORE_S = 0.5  # a reservation starts this long before the retry
 RESERVED_AFTER_S = 0.5  # and ends this long after it
+MAX_WAIT_S = 3.5  # from the charge of a request to its refund
 RETRY_GAIN = 0.05  # weight of one caller in the share that retries
 INITIAL_RETRY_SHARE = 1.0  # until some callers did not retry
 
@@ -68,7 +70,7 @@
         """Count admitted tokens, or refunded ones if negative."""
         self.total_tokens += tokens
         if tokens < 0:
-            self._refund(-tokens)
+            self._refund(-tokens, now_s - MAX_WAIT_S)
             return
         self.used_tokens += tokens
         if self.entries and now_s - self.entries[-1].from_s < BIN_S:
@@ -78,15 +80,15 @@
         else:
             self.entries.append(WindowEntry(now_s, now_s, tokens))
 
-    def _refund(self, tokens: float) -> None:
-        """Take refunded tokens from the oldest entries.
+    def _refund(self, tokens: float, since_s: float) -> None:
+        """Take refunded tokens from the entries that may have them.
 
-        When they were charged is not known. No entry then leaves the window
-        before tokens that were used.
+        When they were charged is not known, so that the oldest of these lose
+        them: no entry then leaves the window before tokens that were used.
         """
-        tokens = _take_oldest(self.earlier, tokens)
-        left = _take_oldest(self.entries, tokens)
-        self.used_tokens -= tokens - left
+        tokens -= _take(self.earlier, tokens, since_s)
+        taken = _take(self.entries, tokens, since_s)
+        self.used_tokens -= taken
 
     def earlier_tokens(self) -> float:
         """Return the tokens in the window from under a higher limit."""
@@ -210,14 +212,16 @@
         return window_s
 
 
-def _take_oldest(
-    entries: collections.deque[WindowEntry], tokens: float
+def _take(
+    entries: Iterable[WindowEntry], tokens: float, since_s: float
 ) -> float:
-    """Take tokens from the oldest entries; return those that are left."""
-    while tokens > 0 and entries:
-        taken = min(tokens, entries[0].tokens)
-        entries[0].tokens -= taken
-        tokens -= taken
-        if entries[0].tokens <= 0:
-            entries.popleft()
-    return tokens
+    """Take tokens from the oldest entries since a time; return how many."""
+    left = tokens
+    for entry in entries:
+        if left <= 0:
+            break
+        if entry.at_s >= since_s:
+            taken = min(left, entry.tokens)
+            entry.tokens -= taken
+            left -= taken
+    return tokens - left
