--- a/tests/policy/test_evacuations.py
+++ b/tests/policy/test_evacuations.py
@@ -1,7 +1,7 @@
 """Tests of which data centres are evacuated."""
 
-from wigeonfall.policy.orders.evacuations import Evacuations
-from wigeonfall.policy.orders.restored_orders import REWRITE_S
+from wigeonfall.policy.targets.evacuations import Evacuations
+from wigeonfall.policy.versions.restored_orders import REWRITE_S
 
 
 def test_evacuations_hold_from_entry_to_removal():
--- a/tests/policy/test_restored_orders.py
+++ b/tests/policy/test_restored_orders.py
@@ -5,8 +5,8 @@
 from tests.policy.test_version_trial import answer
 from tests.policy.test_version_trial import new_version_share
 from tests.policy.test_version_trial import ORDER
-from wigeonfall.policy.orders.restored_orders import RestoredOrders
-from wigeonfall.policy.orders.restored_orders import REWRITE_S
+from wigeonfall.policy.versions.restored_orders import RestoredOrders
+from wigeonfall.policy.versions.restored_orders import REWRITE_S
 from wigeonfall.policy.versions.version_trial import State
 from wigeonfall.policy.versions.version_trial import Trials
 
--- a/wigeonfall/forwarding/cluster_state.py
+++ b/wigeonfall/forwarding/cluster_state.py
@@ -14,12 +14,12 @@
 from ..events import Event
 from ..model.routing import ColdService
 from ..model.target import Target
-from ..policy.orders.evacuations import Evacuations
-from ..policy.orders.restored_orders import RestoredOrders
 from ..policy import routing
 from ..policy.targets import cold_targets
+from ..policy.targets.evacuations import Evacuations
 from ..policy.targets.load_balancer import LoadBalancer
 from ..policy.targets.target_view import TargetView
+from ..policy.versions.restored_orders import RestoredOrders
 from ..policy.versions.version_trial import Trials
 from ..ports.platform import StoredObject
 from ..recorder import Record
--- a/wigeonfall/policy/orders/__init__.py
+++ b/wigeonfall/policy/orders/__init__.py
@@ -1,1 +1,1 @@
-"""What is known of orders, and for how long."""
+"""What is known of keyed orders of callers, and for how long."""
--- a/wigeonfall/policy/orders/evacuations.py
+++ b/wigeonfall/policy/targets/evacuations.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Iterable
 
-from .restored_orders import REWRITE_S
+from ..versions.restored_orders import REWRITE_S
 
 
 class Evacuations:
--- a/wigeonfall/policy/orders/restored_orders.py
+++ b/wigeonfall/policy/versions/restored_orders.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Iterable
 
-from ..versions.version_trial import Order
+from .version_trial import Order
 
 REWRITE_S = 10.0  # operators write again what they miss within this time
 
