Hold the limit on the depth of JSON values for all input

Cause: the boundary cut values only once the parser itself gave up, at about 1,000 levels. What lay between passed it, and raised RecursionError where the view was copied for peers.

The limit of 64 levels now holds for all input: bodies of callers and messages of all peers go through the same function, and the view is passed on without a recursive copy. Half of a surrogate pair in a prompt ended a call without an answer in the same way; it is hashed now.

--- a/tests/forwarding/test_odd_values.py
+++ b/tests/forwarding/test_odd_values.py
@@ -15,11 +15,15 @@
 from tests.fakes.forwarding import answer_ok
 from tests.fakes.forwarding import Harness
 from tests.fakes.forwarding import make_table
+from tests.fakes.object_store import make_store_view
 from tests.fakes.object_store import MemoryObjects
 from tests.forwarding.test_peers import STATE
 from tests.policy.test_routing import make_customer
+from wigeonfall import decoding
+from wigeonfall.forwarding import arbiter_messages
 from wigeonfall.forwarding import background_tasks
 from wigeonfall.forwarding.cluster_state import ClusterState
+from wigeonfall.forwarding import internal_pages
 from wigeonfall.forwarding import peer_news
 from wigeonfall.forwarding import peer_state
 from wigeonfall.forwarding.peers import Peers
@@ -32,6 +36,8 @@
 from wigeonfall.ports.objects import Changes
 from wigeonfall.ports.objects import Listing
 from wigeonfall.ports.platform import StoredObject
+from wigeonfall.serving import rate_limits
+from wigeonfall.serving import rollout_exchange
 
 ERRORS = (OverflowError, RecursionError, KeyError, AttributeError)
 ODD_JSON = st.recursive(
@@ -195,6 +201,57 @@
         pass
 
 
+def deep_json(depth):
+    """Return the JSON text of lists in objects, nested so deeply."""
+    opening = ''.join('{"a":' if n % 2 else '[' for n in range(depth))
+    closing = ''.join('}' if n % 2 else ']' for n in reversed(range(depth)))
+    return opening + '"end"' + closing
+
+
+DEPTHS = (60, 64, 65, 450, 600, 900, 985, 5000)
+BOUNDARIES = {
+    'state': lambda text: peer_state.decode(zlib.compress(text)),
+    'news': lambda text: peer_news.decode(b'#' + zlib.compress(text)),
+    'arbiter': arbiter_messages.decode,
+    'rollouts': lambda text: rollout_exchange.decode(zlib.compress(text)),
+    'demand': lambda text: rate_limits._decode(text, 0.0),
+}
+
+
+@pytest.mark.parametrize('depth', DEPTHS)
+@pytest.mark.parametrize('boundary', BOUNDARIES)
+def test_deep_messages_of_peers_are_refused_with_a_stated_error(
+    boundary, depth
+):
+    """Some raised RecursionError, which no caller expects."""
+    with pytest.raises(ValueError):
+        BOUNDARIES[boundary](b'{"x": %s}' % deep_json(depth).encode())
+
+
+@pytest.mark.parametrize('depth', DEPTHS)
+def test_deep_entries_are_passed_on_to_peers(depth):
+    """Copying one of 450 levels raised, and no peer got any change."""
+    listed = decoding.loads('{"Spec": {"labels": %s}}' % deep_json(depth))
+    item = StoredObject('k', 'deep', 8, listed['Spec'])
+    plain = StoredObject('k', 'plain', 7, {'v': 1})
+    view = make_store_view(('k',))
+    view.apply_listing('k', Listing((item, plain), 8, 1))
+    for page in internal_pages.snapshot_pages(view).values():
+        status, body = page()
+        assert status == 200
+        other = make_store_view(('k',))
+        assert other.apply_snapshot(decoding.loads(body)) == ['k']
+        assert {i.name for i in other.objects('k')} == {'deep', 'plain'}
+        assert other.objects('k') == other.objects('k')
+    # An instance of an earlier release passes the whole value on.
+    raw = json.dumps(view.snapshot())
+    levels = json.dumps(item.value)
+    raw = raw.replace(levels, '{"labels": %s}' % deep_json(depth))
+    old = make_store_view(('k',))
+    assert old.apply_snapshot(decoding.loads(raw)) == ['k']
+    assert internal_pages.snapshot_pages(old)[b'/snapshot']()[0] == 200
+
+
 def test_addresses_that_nothing_can_be_sent_to_are_not_kept():
     """Sending to a port out of range ended the exchange with all peers."""
     peers = Peers('10.0.0.1:7')
--- a/tests/serving/test_request_parsing.py
+++ b/tests/serving/test_request_parsing.py
@@ -28,6 +28,7 @@
     ),
 )
 NOW_S = 100.0
+DEEP = '[' * 600 + ']' * 600
 GOOD = {'model': 'drafts', 'messages': [{'role': 'user', 'content': 'x' * 9}]}
 
 
@@ -108,3 +109,15 @@
 def test_connection_headers_are_not_forwarded() -> None:
     made = _check(connection='close', x_attempt_id='a', accept='text/plain')
     assert made.ok_value.headers == (('accept', 'text/plain'),)
+
+
+@pytest.mark.parametrize(
+    'content', [DEEP, '[' * 5000 + ']' * 5000, '"\\ud800%s"' % ('x' * 5000)]
+)
+def test_bodies_with_odd_contents_are_requests_or_refused(content):
+    """Some ended the call without an answer."""
+    message = '{"role": "user", "content": %s}' % content
+    text = '{"model": "drafts", "messages": [%s]}' % message
+    checked = _check('/v1/chat/completions', body=text.encode())
+    assert isinstance(checked, Ok)
+    assert checked.ok_value.body == text.encode()
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -1,5 +1,6 @@
 """Tests of turning bytes from outside into values."""
 
+import copy
 import json
 import math
 import time
@@ -45,6 +46,49 @@
     assert value == {'before': ['[', 1], 'deep': None, 'after': {'x': 2}}
 
 
+def depth_of(value):
+    """Return how deeply lists and objects are nested."""
+    depth = 0
+    level = [value]
+    while level := [v for v in level if isinstance(v, list | dict)]:
+        depth += 1
+        level = [
+            inner
+            for outer in level
+            for inner in (outer.values() if isinstance(outer, dict) else outer)
+        ]
+    return depth
+
+
+@pytest.mark.parametrize('opening', ['[', '{"a":'])
+@pytest.mark.parametrize(
+    'depth', [1, 63, 64, 65, 66, 100, 450, 600, 900, 985, 1100, 5000]
+)
+def test_limit_on_depth_holds_for_all_depths(opening, depth):
+    """What the parser itself could read, up to about 1,000, was not cut."""
+    closing = ']' if opening == '[' else '}'
+    text = opening * depth + '"[x]"' + closing * depth
+    value = decoding.loads(text)
+    assert depth_of(value) == min(depth, decoding.MAX_DEPTH)
+    # Whatever handles it later, deeper in the stack, can do so.
+    assert copy.deepcopy(value) == value
+    assert json.loads(json.dumps(value)) == value
+    assert repr(value)
+
+
+@given(JSON, st.integers(50, 80))
+def test_limit_on_depth_keeps_all_around_it(value, depth):
+    text = json.dumps({'before': value, 'after': '[' * 200})
+    for _ in range(depth):
+        text = f'[{text}]'
+    inner = decoding.loads(text)
+    assert depth_of(inner) <= decoding.MAX_DEPTH
+    for _ in range(min(depth, decoding.MAX_DEPTH - 1)):
+        (inner,) = inner
+    if depth_of(json.loads(text)) <= decoding.MAX_DEPTH:
+        assert inner == {'before': value, 'after': '[' * 200}
+
+
 def test_deep_values_without_end_are_an_error_in_linear_time():
     times_s = []
     for size in (100_000, 800_000):
--- a/wigeonfall/decoding.py
+++ b/wigeonfall/decoding.py
@@ -52,9 +52,13 @@
     """
     text = data if isinstance(data, str) else data.decode('utf-8', 'replace')
     try:
-        return json.loads(text, parse_int=_whole_number)
+        value = json.loads(text, parse_int=_whole_number)
     except RecursionError:
         return json.loads(_without_deep(text), parse_int=_whole_number)
+    # Counting brackets is fast, and few texts have so many.
+    if text.count('[') + text.count('{') > MAX_DEPTH and _is_deep(value):
+        return json.loads(_without_deep(text), parse_int=_whole_number)
+    return value
 
 
 def inflate(data: bytes, max_bytes: int) -> bytes:
@@ -93,6 +97,21 @@
     return -math.inf if text.startswith('-') else math.inf
 
 
+def _is_deep(value: Any) -> bool:
+    """Return whether lists and objects are nested deeper than MAX_DEPTH."""
+    level = [value]
+    for _ in range(MAX_DEPTH):
+        level = [
+            inner
+            for outer in level
+            for inner in (outer.values() if type(outer) is dict else outer)
+            if type(inner) in (list, dict)
+        ]
+        if not level:
+            return False
+    return True
+
+
 def _without_deep(text: str) -> str:
     """Return a JSON text with null in place of what is nested too deeply."""
     kept = []
--- a/wigeonfall/forwarding/store_view.py
+++ b/wigeonfall/forwarding/store_view.py
@@ -292,7 +292,8 @@
                 'revision': view.revision,
                 'read_revision': view.read_revision,
                 'objects': [
-                    attrs.asdict(item) for item in view.objects.values()
+                    attrs.asdict(item, recurse=False)
+                    for item in view.objects.values()
                 ],
             }
             for kind, view in self._kinds.items()
--- a/wigeonfall/policy/targets/prompts.py
+++ b/wigeonfall/policy/targets/prompts.py
@@ -27,7 +27,7 @@
     digest = xxhash.xxh64()
     hashes = []
     for block in _blocks(text):
-        digest.update(block.encode())
+        digest.update(block.encode('utf-8', 'surrogatepass'))
         hashes.append(digest.intdigest())
     return tuple(hashes)
 
--- a/wigeonfall/serving/rate_limits.py
+++ b/wigeonfall/serving/rate_limits.py
@@ -15,6 +15,7 @@
 from result import Ok
 from result import Result
 
+from .. import decoding
 from ..model.customer import Customer
 from ..model.refusal import Code
 from ..model.refusal import not_run
@@ -164,7 +165,7 @@
 
 
 def _decode(payload: bytes, now_s: float) -> _Report:
-    value: Any = json.loads(payload)
+    value: Any = decoding.loads(payload)
     try:
         demand = {
             str(name): float(rate) for name, rate in value['demand'].items()
--- a/wigeonfall/serving/request_parsing.py
+++ b/wigeonfall/serving/request_parsing.py
@@ -13,6 +13,7 @@
 from result import Ok
 from result import Result
 
+from .. import decoding
 from ..model.configuration import Configuration
 from ..model.customer import Customer
 from ..model.refusal import Code
@@ -237,7 +238,8 @@
 
 def _read_completion(body: bytes) -> Result[dict[str, Any], Refusal]:
     try:
-        value = json.loads(body)
+        text = body.decode(json.detect_encoding(body), 'surrogatepass')
+        value = decoding.loads(text)
     except ValueError:
         return Err(not_run(Code.BAD_REQUEST, 'the body is not JSON'))
     problem = _completion_problem(value)
--- a/wigeonfall/serving/rollout_exchange.py
+++ b/wigeonfall/serving/rollout_exchange.py
@@ -12,6 +12,7 @@
 import attrs
 import cattrs
 
+from .. import decoding
 from ..model.rollout import Rollout
 from ..policy.versions.outcome_counts import Counts
 from ..policy.versions.outcome_counts import CountsKey
@@ -94,7 +95,7 @@
     """
     try:
         decompressor = zlib.decompressobj()
-        value = json.loads(decompressor.decompress(data, MAX_STATE_BYTES))
+        value = decoding.loads(decompressor.decompress(data, MAX_STATE_BYTES))
         return State(
             float(value['fresh']),
             cattrs.structure(value['rollouts'], tuple[StoredRollout, ...]),
