Answer and record internal pages that raise, kind by kind

As peers asked for all kinds at once, the routing table did not reach them either, though it could be encoded.

A page that raises is now answered with 500 and recorded (event 111). The page of all kinds leaves out one that cannot be encoded; each kind is encoded once for both pages. What callbacks of the event loop raise becomes event 110 in place of a traceback on standard error.

--- a/tests/forwarding/test_odd_values.py
+++ b/tests/forwarding/test_odd_values.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 import pytest
 
+from tests.fakes.arbitration import ignore
 from tests.fakes.forwarding import answer_ok
 from tests.fakes.forwarding import Harness
 from tests.fakes.forwarding import make_table
@@ -236,7 +237,7 @@
     plain = StoredObject('k', 'plain', 7, {'v': 1})
     view = make_store_view(('k',))
     view.apply_listing('k', Listing((item, plain), 8, 1))
-    for page in internal_pages.snapshot_pages(view).values():
+    for page in internal_pages.snapshot_pages(view, ignore).values():
         status, body = page()
         assert status == 200
         other = make_store_view(('k',))
@@ -249,7 +250,7 @@
     raw = raw.replace(levels, '{"labels": %s}' % deep_json(depth))
     old = make_store_view(('k',))
     assert old.apply_snapshot(decoding.loads(raw)) == ['k']
-    assert internal_pages.snapshot_pages(old)[b'/snapshot']()[0] == 200
+    assert internal_pages.snapshot_pages(old, ignore)[b'/snapshot']()[0] == 200
 
 
 def test_addresses_that_nothing_can_be_sent_to_are_not_kept():
@@ -323,3 +324,23 @@
     )
     assert len(runs) == 3
     assert [fields['task'] for fields in events] == ['task', 'task']
+
+
+def test_errors_of_callbacks_are_recorded():
+    """They stood on standard error alone, which no metric counts."""
+    events = []
+
+    def fail():
+        raise KeyError('x')
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        background_tasks.record_loop_errors(
+            loop, lambda event, **fields: events.append((event.name, fields))
+        )
+        loop.call_soon(fail)
+        await asyncio.sleep(0.01)
+
+    asyncio.run(scenario())
+    ((name, fields),) = events
+    assert (name, fields['detail']) == ('TASK_FAILED', "KeyError('x')")
--- a/tests/forwarding/test_place_page.py
+++ b/tests/forwarding/test_place_page.py
@@ -131,7 +131,7 @@
 def test_command_shows_the_page_of_an_instance():
     async def act(harness):
         handle = internal_pages.make_page_handler(
-            {}, harness.instance.question_pages()
+            harness.instance.record, {}, harness.instance.question_pages()
         )
         server = await caller_server.serve(
             '127.0.0.1:0',
--- a/tests/forwarding/test_store_view.py
+++ b/tests/forwarding/test_store_view.py
@@ -2,6 +2,7 @@
 
 import json
 
+from tests.fakes.arbitration import ignore
 from tests.fakes.object_store import make_store_view
 from wigeonfall.forwarding import internal_pages
 from wigeonfall.forwarding.store_position import Position
@@ -87,7 +88,7 @@
 
 def test_snapshot_pages_follow_all_updates_of_the_objects():
     view, _ = make_view()
-    page = internal_pages.snapshot_pages(view)[b'/snapshot/k']
+    page = internal_pages.snapshot_pages(view, ignore)[b'/snapshot/k']
     empty = page()
     view.apply_listing('k', Listing((stored('a', 1),), 1))
     listed = page()
--- a/wigeonfall/events.py
+++ b/wigeonfall/events.py
@@ -21,6 +21,7 @@
     MACHINE_SUSPENDED = (107, logging.WARNING, 'machine was suspended')
     LOG_LINES_DROPPED = (109, logging.WARNING, 'log lines dropped')
     TASK_FAILED = (110, logging.ERROR, 'background task failed')
+    PAGE_FAILED = (111, logging.ERROR, 'internal page failed')
     LISTEN_FAILED = (108, logging.ERROR, 'cannot listen on address')
 
     REQUEST_ANSWERED = (201, logging.INFO, 'request answered')
--- a/wigeonfall/forwarding/background_tasks.py
+++ b/wigeonfall/forwarding/background_tasks.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from typing import Any
 
 from ..events import Event
 from ..recorder import Record
@@ -27,3 +28,18 @@
         except Exception as error:
             record(Event.TASK_FAILED, task=name, detail=repr(error))
         await asyncio.sleep(RESTART_DELAY_S)
+
+
+def record_loop_errors(
+    loop: asyncio.AbstractEventLoop, record: Record
+) -> None:
+    """Record what callbacks and tasks raise that nobody waits for."""
+
+    def handle(_loop: asyncio.AbstractEventLoop, context: Any) -> None:
+        record(
+            Event.TASK_FAILED,
+            task=str(context.get('message')),
+            detail=repr(context.get('exception')),
+        )
+
+    loop.set_exception_handler(handle)
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -257,7 +257,9 @@
 
     def snapshot_pages(self) -> dict[bytes, Page]:
         """Return pages with snapshots of the store, for peers."""
-        return internal_pages.snapshot_pages(self._cluster_state.view)
+        return internal_pages.snapshot_pages(
+            self._cluster_state.view, self.record
+        )
 
     def question_pages(self) -> dict[bytes, QuestionPage]:
         """Return pages that answer questions of operators."""
--- a/wigeonfall/forwarding/internal_pages.py
+++ b/wigeonfall/forwarding/internal_pages.py
@@ -9,6 +9,8 @@
 from typing import Any, TypeAlias
 
 from .. import decoding
+from ..events import Event
+from ..recorder import Record
 from .caller_server import HandleCall
 from .calls import Call
 from .calls import Reply
@@ -25,56 +27,79 @@
 
 
 def make_page_handler(
+    record: Record,
     pages: Mapping[bytes, Page],
     questions: Mapping[bytes, QuestionPage] | None = None,
 ) -> HandleCall:
     """Return a handler that answers requests with the page of their path.
 
+    A page that raises is recorded and answered with an error.
+
     Args:
+        record: records events.
         pages: pages that do not depend on the request.
         questions: pages that do.
     """
 
+    def answer(path: bytes, call: Call) -> tuple[int, bytes]:
+        if path in pages:
+            return pages[path]()
+        if questions is not None and path in questions:
+            return questions[path](call)
+        return http.HTTPStatus.NOT_FOUND, b''
+
     async def handle(call: Call, reply: Reply) -> None:
         path = call.path.partition(b'?')[0]
-        page = pages.get(path)
-        question = (questions or {}).get(path)
-        if page is not None:
-            status, body = page()
-        elif question is not None:
-            status, body = question(call)
-        else:
-            reply.send(http.HTTPStatus.NOT_FOUND, (), b'')
-            return
+        try:
+            status, body = answer(path, call)
+        except Exception as error:
+            _record_failure(record, path, error)
+            status, body = http.HTTPStatus.INTERNAL_SERVER_ERROR, b''
         reply.send(status, (), body)
 
     return handle
 
 
+def _record_failure(record: Record, path: bytes, error: Exception) -> None:
+    record(Event.PAGE_FAILED, page=path.decode('latin-1'), detail=repr(error))
+
+
 def snapshot_path(kind: str) -> bytes:
     """Return the path of the snapshot of one kind."""
     return b'%s/%s' % (SNAPSHOT_PATH, kind.encode())
 
 
-def snapshot_pages(view: StoreView) -> dict[bytes, Page]:
-    """Return pages with the snapshots of all kinds and of each kind."""
+def snapshot_pages(view: StoreView, record: Record) -> dict[bytes, Page]:
+    """Return pages with the snapshots of all kinds and of each kind.
 
-    def page(*kinds: str) -> Page:
-        # Dozens of peers fetch each change.
-        encoded: dict[tuple[int, ...], bytes] = {}
-
-        def answer() -> tuple[int, bytes]:
-            counts = view.update_counts()
-            if counts not in encoded:
-                encoded.clear()
-                snapshot = view.snapshot(kinds)
-                encoded[counts] = json.dumps(snapshot).encode()
-            return http.HTTPStatus.OK, encoded[counts]
+    Args:
+        view: the objects.
+        record: records events.
+    """
+    # Dozens of peers fetch each change.
+    encoded: dict[str, tuple[int, bytes]] = {}
+
+    def encode(kind: str) -> bytes:
+        count = view.update_count(kind)
+        if kind not in encoded or encoded[kind][0] != count:
+            encoded[kind] = count, json.dumps(view.snapshot((kind,))).encode()
+        return encoded[kind][1]
+
+    def answer_all() -> tuple[int, bytes]:
+        members = []
+        for kind in view.kinds():
+            try:
+                members.append(encode(kind)[1:-1])
+            except Exception as error:
+                # The others must not wait until this one can be encoded.
+                _record_failure(record, snapshot_path(kind), error)
+        return http.HTTPStatus.OK, b'{%s}' % b', '.join(members)
 
-        return answer
+    def page(kind: str) -> Page:
+        return lambda: (http.HTTPStatus.OK, encode(kind))
 
     pages = {snapshot_path(kind): page(kind) for kind in view.kinds()}
-    pages[SNAPSHOT_PATH] = page()
+    pages[SNAPSHOT_PATH] = answer_all
     return pages
 
 
--- a/wigeonfall/forwarding/process.py
+++ b/wigeonfall/forwarding/process.py
@@ -106,6 +106,7 @@
         name = self._settings.instance.name
         self._record(Event.PROCESS_STARTED, name=name)
         loop = asyncio.get_running_loop()
+        background_tasks.record_loop_errors(loop, self._record)
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload_requested.set)
@@ -202,7 +203,9 @@
         questions: dict[bytes, internal_pages.QuestionPage] | None = None,
     ) -> ServerContext:
         return ServerContext(
-            handle=internal_pages.make_page_handler(pages, questions),
+            handle=internal_pages.make_page_handler(
+                self._record, pages, questions
+            ),
             limits=self._instance.limits,
             closing=lambda: False,
         )
--- a/wigeonfall/forwarding/store_view.py
+++ b/wigeonfall/forwarding/store_view.py
@@ -132,9 +132,9 @@
         """Return the objects of a kind."""
         return tuple(self._kinds[kind].objects.values())
 
-    def update_counts(self) -> tuple[int, ...]:
-        """Return numbers that change with any of the objects."""
-        return tuple(view.update_count for view in self._kinds.values())
+    def update_count(self, kind: str) -> int:
+        """Return a number that changes with any of the objects of a kind."""
+        return self._kinds[kind].update_count
 
     def is_loaded(self, kind: str) -> bool:
         """Whether any object or change of a kind is known."""
--- a/wigeonfall/merged_events.py
+++ b/wigeonfall/merged_events.py
@@ -19,6 +19,7 @@
 MOST_CALLERS = 100  # told apart at once; clients choose their addresses
 _MERGED = frozenset(
     {
+        Event.PAGE_FAILED,
         Event.OBJECT_UNREADABLE,
         Event.TARGET_BACKED_OFF,
         Event.TARGET_LIMIT_LOWERED,
@@ -33,7 +34,7 @@
     }
 )
 # What tells events of a kind apart; other fields are details.
-_SUBJECTS = ('target', 'peer', 'kind', 'object', 'caller', 'cause')
+_SUBJECTS = ('target', 'peer', 'kind', 'object', 'page', 'caller', 'cause')
 
 _Key: TypeAlias = tuple[Event, tuple[Any, ...]]
 
