Follow each kind of object by itself, and list it where no peer helps

Each kind has a lag of its own now (policy/view_lag.py): a peer that failed is not the next to be asked, pauses grow only while none is left, and after a second without progress the store is listed, spread over the fleet. A peer that does not have what it advertised counts as failed. Events 717 and 718 and a gauge tell the kind and since when.

On narrow links a fetch was given up after 1 s and begun anew.

--- /dev/null
+++ b/tests/policy/test_view_lag.py
@@ -0,0 +1,103 @@
+"""Tests of whom an instance asks for what others know already."""
+
+import pytest
+
+from wigeonfall.policy import view_lag
+from wigeonfall.policy.view_lag import KindLag
+
+PEERS = {name: name for name in ('a', 'b', 'c')}
+
+
+def far(_peer):
+    return False
+
+
+def make_lag():
+    lag = KindLag()
+    lag.set_ahead(True, 1, 0.0)
+    return lag
+
+
+def test_a_peer_that_failed_is_not_the_next_to_be_asked():
+    """One that always failed was asked again for ever."""
+    lag = make_lag()
+    asked = []
+    now_s = 0.0
+    for _ in PEERS:
+        name = lag.choose(PEERS, far, now_s)
+        asked.append(name)
+        lag.record_failed(name, PEERS, 'x', now_s)
+        now_s += 0.1
+    assert set(asked) == set(PEERS)
+    # Once all have failed, the first of them has had the longest pause.
+    assert lag.choose(PEERS, far, now_s) == asked[0]
+
+
+def test_near_peers_go_first_unless_they_failed():
+    lag = make_lag()
+    assert {lag.choose(PEERS, lambda p: p == 'b', 0.0) for _ in range(20)} == {
+        'b'
+    }
+    lag.record_failed('b', PEERS, 'x', 0.0)
+    assert {lag.choose(PEERS, lambda p: p == 'b', 0.1) for _ in range(50)} == {
+        'a',
+        'c',
+    }
+
+
+def test_pauses_grow_only_while_no_other_peer_is_left():
+    lag = make_lag()
+    lag.record_failed('a', PEERS, 'x', 1.0)
+    assert lag.may_fetch(1.0 + view_lag.FETCH_PAUSE_S, 0.1)
+    for name in ('b', 'c'):
+        lag.record_failed(name, PEERS, 'x', 1.0)
+    assert not lag.may_fetch(1.0 + view_lag.FETCH_PAUSE_S, 0.1)
+    assert lag.may_fetch(1.0 + view_lag.MAX_FETCH_PAUSE_S, 0.1)
+
+
+@pytest.mark.parametrize('fleet_size', [18, 100, 500])
+def test_instances_that_peers_do_not_help_ask_the_store_spread_out(fleet_size):
+    """They asked peers for ever, though the store was in reach."""
+    lags = [make_lag() for _ in range(fleet_size)]
+    asked_s = []
+    for step in range(600):
+        now_s = step * 0.1
+        for lag in lags:
+            if lag.needs_store(fleet_size, now_s):
+                asked_s.append(now_s)
+                lag.record_listed(fleet_size, None, now_s)
+    firsts = asked_s[:fleet_size]
+    spread_s = fleet_size / view_lag.STORE_CALLS_PER_S
+    assert min(firsts) >= view_lag.STORE_AFTER_S
+    assert max(firsts) <= 2 * (view_lag.STORE_AFTER_S + spread_s) + 0.2
+    # What does not help is asked for less and less often.
+    assert len(asked_s) < 8 * fleet_size
+    for start in range(60):
+        calls = sum(start <= at_s < start + 1 for at_s in asked_s)
+        assert calls <= 2 * view_lag.STORE_CALLS_PER_S
+
+
+def test_a_fetch_that_still_arrives_is_waited_for():
+    """A narrow link would carry the listing of the store as well."""
+    lag = make_lag()
+    for step in range(95):
+        now_s = step * 0.1
+        lag.record_progress(now_s)
+        assert not lag.needs_store(1, now_s)
+    for step in range(95, 150):
+        lag.record_progress(step * 0.1)
+    assert any(lag.needs_store(1, 15.0 + n) for n in range(3))
+
+
+def test_a_lag_is_reported_with_its_start_and_its_end():
+    lag = make_lag()
+    reported = [
+        step / 10 for step in range(260) if lag.is_due_report(step / 10)
+    ]
+    assert reported == [2.0, 12.0, 22.0]
+    assert lag.set_ahead(True, 1, 26.0) is None
+    # A part has arrived, so that the rest is a lag of its own.
+    assert lag.set_ahead(True, 2, 27.0) == 27.0
+    assert lag.lag_s(28.0) == 1.0
+    assert lag.set_ahead(False, 2, 28.0) is None
+    assert lag.lag_s(40.0) == 0.0
--- a/wigeonfall/events.py
+++ b/wigeonfall/events.py
@@ -112,6 +112,8 @@
     STORE_RESTORED = (714, logging.WARNING, 'store restored from older copy')
     OBJECTS_LOST = (715, logging.WARNING, 'objects lost by restored store')
     OBJECT_WRITTEN_AGAIN = (716, logging.INFO, 'lost object written again')
+    VIEW_BEHIND = (717, logging.WARNING, 'behind peers')
+    VIEW_CURRENT = (718, logging.INFO, 'caught up with peers')
     TOPIC_UNREADABLE = (705, logging.WARNING, 'topic state unreadable')
 
     def __init__(self, number: int, level: int, message: str) -> None:
--- a/wigeonfall/forwarding/exchange.py
+++ b/wigeonfall/forwarding/exchange.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import http
 import time
 
@@ -106,14 +107,18 @@
             self._raise_if_ended()
             await self._connection.wait_for_change()
 
-    async def read_all(self, max_bytes: int) -> bytes | None:
+    async def read_all(
+        self, max_bytes: int, on_part: Callable[[], None] = lambda: None
+    ) -> bytes | None:
         """Return the complete body, or None if it exceeds a limit.
 
         Args:
             max_bytes: limit of this body, beside that of all together.
+            on_part: called when a part of it has arrived.
         """
         body = Body()
         while part := await self.read():
+            on_part()
             body.append(part)
             if body.size > max_bytes:
                 return None
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -13,6 +13,7 @@
 from ..events import Event
 from . import internal_pages
 from ..model.routing import CallerLimits
+from . import peers
 from . import place_page
 from ..policy import memory
 from ..policy.room import token_quota
@@ -129,6 +130,7 @@
             data_center=settings.instance.data_center,
             watches_store=lambda: self._watches,
             store_reachable=lambda: self._cluster_state.store_reachable,
+            fleet_size=self._peers.fleet_size,
             record=record,
         )
         self._states = StateExchange(
@@ -211,7 +213,9 @@
             'rollouts': self._rollouts.run,
         }
         return (
-            self._run_peer_link(),
+            peers.run_link(
+                self._link, self._settings.listen.peers_address, self.record
+            ),
             *(
                 background_tasks.keep_running(name, run, self.record)
                 for name, run in tasks.items()
@@ -230,6 +234,7 @@
             topology=self._topology,
             peers=self._peers,
             watches_store=lambda: self._watches,
+            snapshot_sync=self._snapshot_sync,
             record=self.record,
         )
         store_threads.start(threads, loop, stopping)
@@ -388,13 +393,3 @@
         ):
             self._balancer.set_peer_loads(self._peers.loads(now_s))
             self._scheduler.dispatch_all()
-
-    async def _run_peer_link(self) -> None:
-        host, _, port = self._settings.listen.peers_address.rpartition(':')
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self._link, local_addr=(host, int(port))
-        )
-        await background_tasks.keep_running(
-            'peer link', self._link.run, self.record
-        )
--- a/wigeonfall/forwarding/internal_pages.py
+++ b/wigeonfall/forwarding/internal_pages.py
@@ -7,20 +7,25 @@
 import json
 import time
 from typing import Any, TypeAlias
+import zlib
 
 from .. import decoding
 from ..events import Event
 from ..recorder import Record
 from .caller_server import HandleCall
 from .calls import Call
+from .calls import Headers
 from .calls import Reply
 from .exchange import ConnectionPool
 from .exchange import ExchangeError
 from .store_view import StoreView
 
 SNAPSHOT_PATH = b'/snapshot'
-FETCH_TIMEOUT_S = 1.0  # peers answer from memory
+FETCH_TIMEOUT_S = 1.0  # without any byte; peers answer from memory
+MAX_FETCH_S = 30.0  # though bytes still arrive
 MAX_SNAPSHOT_BYTES = 16 << 20
+DEFLATE = b'deflate'
+_COMPRESSION_LEVEL = 1  # fastest; takes most of the repeated names
 
 Page: TypeAlias = Callable[[], tuple[int, bytes]]
 QuestionPage: TypeAlias = Callable[[Call], tuple[int, bytes]]
@@ -33,7 +38,8 @@
 ) -> HandleCall:
     """Return a handler that answers requests with the page of their path.
 
-    A page that raises is recorded and answered with an error.
+    A page that raises is recorded and answered with an error. Bodies are
+    compressed for who asks for it.
 
     Args:
         record: records events.
@@ -48,6 +54,14 @@
             return questions[path](call)
         return http.HTTPStatus.NOT_FOUND, b''
 
+    compressed: dict[bytes, tuple[bytes, bytes]] = {}
+
+    def compress(path: bytes, body: bytes) -> bytes:
+        """Return a compressed body; many peers get the same one."""
+        if path not in compressed or compressed[path][0] is not body:
+            compressed[path] = body, zlib.compress(body, _COMPRESSION_LEVEL)
+        return compressed[path][1]
+
     async def handle(call: Call, reply: Reply) -> None:
         path = call.path.partition(b'?')[0]
         try:
@@ -55,7 +69,11 @@
         except Exception as error:
             _record_failure(record, path, error)
             status, body = http.HTTPStatus.INTERNAL_SERVER_ERROR, b''
-        reply.send(status, (), body)
+        headers: Headers = ()
+        if body and DEFLATE in call.header(b'accept-encoding'):
+            body = compress(path, body)
+            headers = ((b'Content-Encoding', DEFLATE),)
+        reply.send(status, headers, body)
 
     return handle
 
@@ -104,7 +122,10 @@
 
 
 async def fetch_snapshot(
-    connections: ConnectionPool, address: str, path: bytes
+    connections: ConnectionPool,
+    address: str,
+    path: bytes,
+    on_progress: Callable[[], None] = lambda: None,
 ) -> dict[str, Any]:
     """Fetch a snapshot from a peer.
 
@@ -112,6 +133,7 @@
         connections: HTTP connections to peers.
         address: "host:port" of the peer.
         path: path of the snapshot.
+        on_progress: called when a part of it has arrived.
 
     Returns:
         The snapshot, as JSON values.
@@ -119,10 +141,19 @@
     Raises:
         ExchangeError: the peer sent none that can be read.
     """
-    host = address.encode()
-    request = b'GET %s HTTP/1.1\r\nHost: %s\r\n\r\n' % (path, host)
+    request = (
+        b'GET %s HTTP/1.1\r\nHost: %s\r\nAccept-Encoding: deflate\r\n\r\n'
+        % (path, address.encode())
+    )
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + MAX_FETCH_S
     try:
-        async with asyncio.timeout(FETCH_TIMEOUT_S):
+        async with asyncio.timeout(FETCH_TIMEOUT_S) as timeout:
+
+            def extend() -> None:
+                timeout.reschedule(min(loop.time() + FETCH_TIMEOUT_S, end_s))
+                on_progress()
+
             exchange = await connections.send(
                 address,
                 b'',
@@ -131,16 +162,20 @@
                 now_s=time.monotonic(),
             )
             try:
-                await exchange.head()
-                body = await exchange.read_all(MAX_SNAPSHOT_BYTES)
+                head = await exchange.head()
+                body = await exchange.read_all(MAX_SNAPSHOT_BYTES, extend)
             finally:
                 exchange.release()
     except TimeoutError as error:
         raise ExchangeError('peer timed out', sent=True) from error
+    if head.status != http.HTTPStatus.OK:
+        raise ExchangeError(f'status {head.status}', sent=True)
     try:
+        if head.header(b'content-encoding') == DEFLATE:
+            body = decoding.inflate(body or b'', MAX_SNAPSHOT_BYTES)
         value = decoding.loads(body or b'')
     except ValueError as error:
-        raise ExchangeError('snapshot is not JSON', sent=True) from error
+        raise ExchangeError(f'unreadable: {error}', sent=True) from error
     if not isinstance(value, dict):
         raise ExchangeError('snapshot is no JSON object', sent=True)
     return value
--- a/wigeonfall/forwarding/peers.py
+++ b/wigeonfall/forwarding/peers.py
@@ -13,6 +13,7 @@
 import attrs
 
 from . import arbiter_messages
+from . import background_tasks
 from ..events import Event
 from ..model import address as address_module
 from . import peer_news
@@ -352,6 +353,21 @@
         self._transport.sendto(data, recipient)
 
 
+async def run_link(link: PeerLink, address: str, record: Record) -> None:
+    """Exchange datagrams with peers, until cancelled.
+
+    Args:
+        link: sends and receives them.
+        address: "host:port" where they are received.
+        record: records events.
+    """
+    host, _, port = address.rpartition(':')
+    await asyncio.get_running_loop().create_datagram_endpoint(
+        lambda: link, local_addr=(host, int(port))
+    )
+    await background_tasks.keep_running('peer link', link.run, record)
+
+
 def _is_valid(address: str) -> bool:
     try:
         address_module.parse(address)
--- a/wigeonfall/forwarding/snapshot_sync.py
+++ b/wigeonfall/forwarding/snapshot_sync.py
@@ -1,22 +1,21 @@
 """Fetches snapshots of the store from peers that have newer revisions.
 
 Instances that do not watch the store get all changes in this way, from a peer
-in their own data centre if one has them.
+in their own data centre if one has them, or from the store if no peer helps.
 """
 
 import asyncio
 from collections.abc import Callable
-import random
 import time
 
 import attrs
 
 from ..events import Event
 from . import internal_pages
+from ..policy.view_lag import KindLag
 from ..recorder import Record
 from . import store_position
 from .exchange import ConnectionPool
-from .exchange import ExchangeError
 from .peer_state import PeerState
 from .peers import Peers
 from .store_view import StoreView
@@ -37,7 +36,10 @@
         data_center: data centre of this instance.
         watches_store: returns whether this instance watches the store.
         store_reachable: returns whether its watches work.
+        fleet_size: returns the number of instances.
         record: records events.
+        lags: in which kinds others are ahead.
+        listings_due: kinds to list from the store, as peers did not help.
     """
 
     peers: Peers
@@ -46,31 +48,109 @@
     data_center: str
     watches_store: Callable[[], bool]
     store_reachable: Callable[[], bool]
+    fleet_size: Callable[[float], int]
     record: Record
+    lags: dict[str, KindLag] = attrs.field()
+    listings_due: set[str] = attrs.field(factory=set)
+
+    @lags.default
+    def _make_lags(self) -> dict[str, KindLag]:
+        return {kind: KindLag() for kind in self.view.kinds()}
 
 
 async def run(context: SnapshotSyncContext) -> None:
-    """Fetch snapshots of peers that stay ahead, until cancelled."""
-    behind_s = 0.0
-    while True:
-        await asyncio.sleep(CHECK_INTERVAL_S)
-        ahead = _peers_ahead(context, time.monotonic())
-        behind_s += CHECK_INTERVAL_S
-        if not ahead:
-            behind_s = min(0.0, behind_s)
-        if behind_s >= (
-            WATCH_LAG_S if context.watches_store() else CHECK_INTERVAL_S
-        ):
-            await _fetch(context, _choose_peer(context, ahead))
-            behind_s = -FETCH_PAUSE_S
-
-
-def _choose_peer(
-    context: SnapshotSyncContext, ahead: list[PeerState]
-) -> PeerState:
-    """Return one of the peers, preferably from this data centre."""
-    near = [s for s in ahead if s.data_center == context.data_center]
-    return random.choice(near or ahead)
+    """Follow what peers know of the store, until cancelled."""
+    fetches: dict[str, asyncio.Task[None]] = {}
+    try:
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            now_s = time.monotonic()
+            ahead = _ahead_by_kind(context, now_s)
+            positions = context.view.positions()
+            for kind, lag in context.lags.items():
+                ended_s = lag.set_ahead(
+                    bool(ahead[kind]), positions[kind], now_s
+                )
+                _report(context, kind, ended_s, len(ahead[kind]), now_s)
+                watches = context.watches_store()
+                if not watches and lag.needs_store(
+                    context.fleet_size(now_s), now_s
+                ):
+                    context.listings_due.add(kind)
+                if kind in fetches and not fetches[kind].done():
+                    continue
+                grace_s = WATCH_LAG_S if watches else CHECK_INTERVAL_S
+                if ahead[kind] and lag.may_fetch(now_s, grace_s):
+                    fetches[kind] = asyncio.create_task(
+                        _fetch(context, kind, ahead[kind])
+                    )
+    finally:
+        for task in fetches.values():
+            task.cancel()
+
+
+def record_listed(
+    context: SnapshotSyncContext, kind: str, error: str | None
+) -> None:
+    """Record that the store was asked for a kind, in place of peers.
+
+    Args:
+        context: the synchronisation.
+        kind: name of the kind.
+        error: why the store gave no listing, None if it did.
+    """
+    now_s = time.monotonic()
+    context.listings_due.discard(kind)
+    context.lags[kind].record_listed(context.fleet_size(now_s), error, now_s)
+
+
+def _report(
+    context: SnapshotSyncContext,
+    kind: str,
+    ended_s: float | None,
+    ahead_count: int,
+    now_s: float,
+) -> None:
+    """Record that peers are ahead in a kind, or no longer are.
+
+    Args:
+        context: the synchronisation.
+        kind: name of the kind.
+        ended_s: how long a lag that was reported has lasted, if it has ended.
+        ahead_count: number of peers that are ahead.
+        now_s: present time on the monotonic clock.
+    """
+    lag = context.lags[kind]
+    if ended_s is not None:
+        context.record(Event.VIEW_CURRENT, kind=kind, lag_s=round(ended_s, 1))
+    if lag.is_due_report(now_s):
+        lag_s = lag.lag_s(now_s)
+        context.record(
+            Event.VIEW_BEHIND,
+            kind=kind,
+            since_unix_s=round(time.time() - lag_s, 1),
+            lag_s=round(lag_s, 1),
+            ahead=ahead_count,
+            failed=len(lag.failed_s),
+            detail=lag.error,
+        )
+
+
+def _ahead_by_kind(
+    context: SnapshotSyncContext, now_s: float
+) -> dict[str, dict[str, PeerState]]:
+    """Return the peers that have something newer, by kind and name."""
+    ahead: dict[str, dict[str, PeerState]] = {
+        kind: {} for kind in context.view.kinds()
+    }
+    kinds_of: dict[tuple[tuple[str, int], ...], list[str]] = {}
+    for state in _peers_ahead(context, now_s):
+        told = tuple(state.revisions.items())
+        if told not in kinds_of:
+            kinds_of[told] = _kinds_ahead(context, state)
+        for kind in kinds_of[told]:
+            ahead[kind][state.name] = state
+    return ahead
 
 
 def _peers_ahead(
@@ -121,21 +201,37 @@
     ]
 
 
-async def _fetch(context: SnapshotSyncContext, state: PeerState) -> None:
-    behind = _kinds_ahead(context, state)
-    path = internal_pages.SNAPSHOT_PATH
-    if len(behind) == 1:
-        path = internal_pages.snapshot_path(behind[0])
+async def _fetch(
+    context: SnapshotSyncContext, kind: str, ahead: dict[str, PeerState]
+) -> None:
+    """Fetch a kind from one of the peers that are ahead in it."""
+    lag = context.lags[kind]
+    state = lag.choose(
+        ahead,
+        lambda peer: peer.data_center == context.data_center,
+        time.monotonic(),
+    )
     try:
         value = await internal_pages.fetch_snapshot(
-            context.connections, state.address, path
+            context.connections,
+            state.address,
+            internal_pages.snapshot_path(kind),
+            lambda: lag.record_progress(time.monotonic()),
         )
         kinds = context.view.apply_snapshot(value)
-    except (ExchangeError, ValueError) as error:
+        if kind in _kinds_ahead(context, state):
+            raise ValueError(f'snapshot has not what was advertised of {kind}')
+    except Exception as error:
+        # Whatever it is, another peer or the store may still help.
+        lag.record_failed(state.name, ahead, repr(error), time.monotonic())
         context.record(
-            Event.MESSAGE_UNREADABLE, peer=state.name, detail=repr(error)
+            Event.MESSAGE_UNREADABLE,
+            peer=state.name,
+            kind=kind,
+            detail=repr(error),
         )
         return
+    lag.record_fetched(time.monotonic())
     if kinds:
         context.record(
             Event.SNAPSHOT_LOADED,
--- a/wigeonfall/forwarding/store_threads.py
+++ b/wigeonfall/forwarding/store_threads.py
@@ -12,11 +12,13 @@
 from ..ports.objects import ObjectStore
 from ..recorder import Record
 from . import registration
+from . import snapshot_sync
 from . import store_watcher
 from .cluster_state import ClusterState
 from .peers import Peers
 from .platform_adapter import PlatformAdapter
 from .settings import ForwardingSettings
+from .snapshot_sync import SnapshotSyncContext
 from .topology import Topology
 
 
@@ -32,6 +34,7 @@
         topology: role of this instance among its peers.
         peers: the peers of this instance.
         watches_store: returns whether this instance watches the store.
+        snapshot_sync: tells which kinds to list as peers do not help.
         record: records events.
     """
 
@@ -42,6 +45,7 @@
     topology: Topology
     peers: Peers
     watches_store: Callable[[], bool]
+    snapshot_sync: SnapshotSyncContext
     record: Record
 
 
@@ -82,6 +86,16 @@
                 settle_s=lambda: topology.settle_s(time.monotonic()),
                 record=threads.record,
                 stopping=stopping,
+                is_listing_due=functools.partial(
+                    threads.snapshot_sync.listings_due.__contains__, kind
+                ),
+                on_listed=call_in_loop(
+                    functools.partial(
+                        snapshot_sync.record_listed,
+                        threads.snapshot_sync,
+                        kind,
+                    )
+                ),
             )
         )
 
--- a/wigeonfall/forwarding/store_watcher.py
+++ b/wigeonfall/forwarding/store_watcher.py
@@ -37,6 +37,9 @@
             that follows it, in which it may turn out that peers watch.
         record: records events.
         stopping: set when the process stops.
+        is_listing_due: returns whether to list the objects once, though
+            this instance does not watch the store.
+        on_listed: called after that, with the error if there was one.
     """
 
     kind: str
@@ -48,6 +51,8 @@
     settle_s: Callable[[], float]
     record: Record
     stopping: threading.Event
+    is_listing_due: Callable[[], bool] = lambda: False
+    on_listed: Callable[[str | None], None] = lambda _error: None
 
 
 def start(watcher: StoreWatcher) -> threading.Thread:
@@ -80,17 +85,13 @@
         if not watcher.is_enabled():
             # Peers send the changes meanwhile; a later watch lists all first.
             revision, failures = None, 0
+            if watcher.is_listing_due():
+                _, error = _ask(watcher, None, progress)
+                watcher.on_listed(error)
             watcher.stopping.wait(DISABLED_POLL_S)
             continue
         before = revision
-        try:
-            if before is None:
-                revision, error = _list(watcher, progress)
-            else:
-                revision, error = _watch(watcher, before, progress)
-        except Exception as unexpected:
-            # The thread is the only one that watches the kind.
-            revision, error = None, repr(unexpected)
+        revision, error = _ask(watcher, before, progress)
         if error is None:
             if before is None:
                 _settle(watcher)
@@ -108,6 +109,28 @@
         watcher.stopping.wait(max_delay_s * (0.5 + random.random() / 2))
 
 
+def _ask(
+    watcher: StoreWatcher, since: int | None, progress: _Progress
+) -> tuple[int | None, str | None]:
+    """List or watch the objects.
+
+    Args:
+        watcher: the watch.
+        since: revision to watch from, None to list all objects.
+        progress: how far the watch has come.
+
+    Returns:
+        The revision to watch from, None to list all; and the error, if any.
+    """
+    try:
+        if since is None:
+            return _list(watcher, progress)
+        return _watch(watcher, since, progress)
+    except Exception as unexpected:
+        # The thread is the only one that watches the kind.
+        return None, repr(unexpected)
+
+
 def _settle(watcher: StoreWatcher) -> None:
     """Wait until it is known whether peers watch, or for the time limit."""
     while watcher.settle_s() > 0 and not watcher.stopping.is_set():
--- a/wigeonfall/metrics.py
+++ b/wigeonfall/metrics.py
@@ -70,6 +70,13 @@
             'Data centres whose targets get no new requests.',
             registry=registry,
         )
+        self.behind_since = prometheus_client.Gauge(
+            'wigeonfall_behind_since_seconds',
+            'Unix time since which peers are ahead in a kind of object, 0 if'
+            ' none is.',
+            ['kind'],
+            registry=registry,
+        )
         self.prompt_tokens = prometheus_client.Counter(
             'wigeonfall_prompt_tokens',
             'Prompt tokens of requests sent, by whether targets were expected'
@@ -182,6 +189,12 @@
             metrics.target_rate_limit.labels(target).set(math.inf)
         elif event in (Event.TARGET_COLD, Event.TARGET_WARM):
             metrics.cold_targets.set(fields['cold'])
+        elif event is Event.VIEW_BEHIND:
+            metrics.behind_since.labels(fields['kind']).set(
+                fields['since_unix_s']
+            )
+        elif event is Event.VIEW_CURRENT:
+            metrics.behind_since.labels(fields['kind']).set(0)
         elif event in (Event.EVACUATION_BEGUN, Event.EVACUATION_LIFTED):
             metrics.evacuated_data_centres.set(fields['evacuated'])
 
