Leave out objects that cannot be read, in place of the whole listing

Cause: the adapter decoded an answer of the store in one piece. Items are decoded one by one now; one that cannot be read is left out and recorded (event 513). A page that ends with one goes on from the last readable name, else from the raw one; a listing that has no way on, or repeats a page, is an error.

--- a/tests/fakes/odd_entries.py
+++ b/tests/fakes/odd_entries.py
@@ -24,6 +24,8 @@
     'port below zero': ('Address', '"127.0.0.1:-1"'),
     'no address': ('Address', '"a\\u0000b:80"'),
     'deep value': ('Slots', '[' * 20_000 + ']' * 20_000),
+    'label of 600 levels': ('Labels', '[' * 600 + ']' * 600),
+    'label of 985 levels': ('Labels', '{"a":' * 985 + '1' + '}' * 985),
     'deep label': ('Labels', '{"a":' * 20_000 + '1' + '}' * 20_000),
     'half a surrogate pair': ('Zone', '"\\ud800"'),
     'huge time': ('born', '1e300'),
--- a/tests/users_platform/test_odd_entries.py
+++ b/tests/users_platform/test_odd_entries.py
@@ -28,9 +28,13 @@
     store.objects.put('servers', target.name, entry)
 
 
-@pytest.mark.parametrize('kind', ODD)
-def test_an_odd_entry_leaves_the_others_in_use(kind, tmp_path):
-    """Machines followed no change of the list any more, or served nobody."""
+def follow_beside(tmp_path, write_odd):
+    """Check that instances follow the list of engines beside an odd entry.
+
+    Args:
+        tmp_path: directory for their files.
+        write_odd: writes the entry to a store.
+    """
 
     async def scenario():
         targets = [ScriptedTarget(f'e{n}', answer) for n in range(3)]
@@ -42,8 +46,7 @@
             register(store, first)
             register(store, second)
             async with Instance(tmp_path, store) as instance:
-                store.raw['odd'] = odd_entry(kind)
-                store.objects.put('servers', 'odd', {'raw': 'odd'})
+                write_odd(store)
                 await asyncio.sleep(0.3)
                 register(store, first, State='draining')
                 register(store, third)
@@ -59,3 +62,23 @@
                 assert third.served
 
     asyncio.run(asyncio.wait_for(scenario(), 60.0))
+
+
+@pytest.mark.parametrize('kind', ODD)
+def test_an_odd_entry_leaves_the_others_in_use(kind, tmp_path):
+    """Machines followed no change of the list any more, or served nobody."""
+
+    def write_odd(store):
+        store.raw['odd'] = odd_entry(kind)
+        store.objects.put('servers', 'odd', {'raw': 'odd'})
+
+    follow_beside(tmp_path, write_odd)
+
+
+@pytest.mark.parametrize('name', ['i-\ud800', 'n' * 5000, ''])
+def test_an_odd_name_leaves_the_others_in_use(name, tmp_path):
+    """No machine came back while an entry with such a name stood."""
+    follow_beside(
+        tmp_path,
+        lambda store: store.objects.put('servers', name, {'Service': 'r'}),
+    )
--- a/tests/users_platform/test_store.py
+++ b/tests/users_platform/test_store.py
@@ -2,6 +2,7 @@
 
 import http.server
 import json
+import math
 import threading
 from urllib.parse import parse_qs
 from urllib.parse import urlsplit
@@ -28,7 +29,10 @@
         length = int(self.headers.get('Content-Length', 0))
         body = json.loads(self.rfile.read(length) or b'null')
         parts = urlsplit(self.path)
-        query = {n: v[0] for n, v in parse_qs(parts.query).items()}
+        query = {
+            n: v[0]
+            for n, v in parse_qs(parts.query, errors='surrogateescape').items()
+        }
         self.server.calls.append((self.command, parts.path, query, body))
         status, answer = self.server.answers.pop(0)
         data = answer if isinstance(answer, bytes) else json.dumps(answer)
@@ -87,6 +91,72 @@
     assert changes.revision == 12
 
 
+ODD_ITEMS = {
+    'half a surrogate pair': stored('i-\ud800', 4),
+    'empty name': stored('', 4),
+    'long name': stored('n' * 5000, 4),
+    'no text': stored(7, 4),
+    'no name': {'Metadata': {'Revision': 4}, 'Spec': {}},
+    'no metadata': {'Spec': {}},
+    'metadata of another type': {'Metadata': [], 'Spec': {}},
+    'infinite revision': stored('x', math.inf),
+    'revision of another type': stored('x', '4'),
+    'fraction': stored('x', 4.5),
+    'no object': 5,
+    'nothing': None,
+}
+
+
+@pytest.mark.parametrize('odd', ODD_ITEMS)
+def test_an_object_that_cannot_be_read_leaves_the_others(served, odd):
+    """One odd name made the whole listing, and each watch, unreadable."""
+    item = ODD_ITEMS[odd]
+    items = [stored('a', 3), item, stored('z', 5)]
+    events = [{'Deleted': False, 'Object': i} for i in items]
+    events.insert(1, {'Deleted': True, 'Object': item})
+    served.answers = [
+        (200, {'Items': items, 'CurrentRev': 8}),
+        (200, {'events': events, 'CurrentRev': 12}),
+    ]
+    listing = served.store.list('servers', False).ok_value
+    assert [i.name for i in listing.objects] == ['a', 'z']
+    assert len(listing.unreadable) == 1
+    changes = served.store.watch('servers', 10, 1.5).ok_value
+    assert [c.object.name for c in changes.changes] == ['a', 'z']
+    assert (changes.revision, len(changes.unreadable)) == (12, 2)
+
+
+@pytest.mark.parametrize(
+    ('items', 'after'),
+    [
+        ([stored('a', 3), stored('b\ud800', 4)], 'a'),
+        ([stored('b\ud800', 4)], 'b\ud800'),
+        ([stored('n' * 5000, 4)], 'n' * 4096 + '\U0010ffff'),
+    ],
+)
+def test_a_listing_goes_on_after_a_page_that_ends_unreadably(
+    served, items, after
+):
+    served.answers = [
+        (200, {'Items': items, 'HasMore': True, 'CurrentRev': 8}),
+        (200, {'Items': [stored('z', 5)], 'CurrentRev': 9}),
+    ]
+    listing = served.store.list('servers', False).ok_value
+    assert listing.objects[-1].name == 'z'
+    assert len(listing.unreadable) == 1
+    assert served.calls[1][2]['After'].encode(
+        'utf-8', 'surrogateescape'
+    ) == after.encode('utf-8', 'surrogatepass')
+
+
+@pytest.mark.parametrize('items', [[{}], [stored('', 4)], [stored('a', 4)]])
+def test_a_listing_without_a_way_on_is_an_error(served, items):
+    """It would pass for whole, or never end."""
+    page = (200, {'Items': items, 'HasMore': True, 'CurrentRev': 8})
+    served.answers = [page, page]
+    assert served.store.list('servers', False).is_err()
+
+
 @pytest.mark.parametrize(
     ('status', 'kind'),
     [
--- a/wigeonfall/forwarding/store_watcher.py
+++ b/wigeonfall/forwarding/store_watcher.py
@@ -1,6 +1,7 @@
 """Watches the store's objects, with one thread for each kind."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import random
 import threading
 
@@ -145,6 +146,7 @@
         return None, outcome.err_value.message
     listing = outcome.ok_value
     _record_restore(watcher, progress, listing)
+    _record_unreadable(watcher, listing.unreadable)
     watcher.on_listing(watcher.kind, listing)
     return listing.revision, None
 
@@ -166,6 +168,13 @@
     progress.revision = listing.revision
 
 
+def _record_unreadable(watcher: StoreWatcher, details: Iterable[str]) -> None:
+    for detail in details:
+        watcher.record(
+            Event.OBJECT_UNREADABLE, kind=watcher.kind, detail=detail
+        )
+
+
 def _watch(
     watcher: StoreWatcher, since: int, progress: _Progress
 ) -> tuple[int | None, str | None]:
@@ -181,5 +190,6 @@
         # The revision that the watch began at is not one of this era.
         return None, None
     progress.revision = changes.revision
+    _record_unreadable(watcher, changes.unreadable)
     watcher.on_changes(watcher.kind, changes)
     return changes.revision, None
--- a/wigeonfall/ports/objects.py
+++ b/wigeonfall/ports/objects.py
@@ -19,11 +19,13 @@
         revision: revision of the store as of which they are complete.
         era: era of the store, which rises each time it is restored from an
             older copy; 0 if the store does not tell.
+        unreadable: why objects were left out, one entry for each.
     """
 
     objects: tuple[StoredObject, ...]
     revision: int
     era: int = 0
+    unreadable: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -48,11 +50,13 @@
             timeout.
         revision: revision of the store after these changes.
         era: era of the store, 0 if it does not tell.
+        unreadable: why changes were left out, one entry for each.
     """
 
     changes: tuple[Change, ...]
     revision: int
     era: int = 0
+    unreadable: tuple[str, ...] = ()
 
 
 @attrs.frozen
