Take no answer without a status, and no early end for that of a body

A status of 000, 001 or 099 was taken for an interim answer: callers waited for all their time, and no other target was asked. 600 and 999 were passed on to callers.

Cause: the parser takes any three digits, and the end of a connection completed an answer whatever had become of the request.

A number outside 100 to 599 is now an error of the connection at once, on both paths; a success without a length is whole only if the request was sent and acknowledged. The path by thread passes interim answers over. The store and orders to targets succeed with 200 to 299 only.

--- a/tests/adapters/test_targets.py
+++ b/tests/adapters/test_targets.py
@@ -274,3 +274,43 @@
     )
     assert opened.err_value.kind is port.AttemptErrorKind.BROKEN
     assert opened.err_value.may_have_run
+
+
+@pytest.mark.parametrize(
+    'status',
+    [
+        '000 X',
+        '099 X',
+        '600 X',
+        '999 X',
+        '2x0 X',
+        '101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: h2c',
+    ],
+)
+@pytest.mark.parametrize('interim', [False, True])
+def test_answer_without_a_status_is_broken(status, interim) -> None:
+    """It was passed on, or ended the call by an unexpected error."""
+    answer = _head(2).replace(b'200 OK', status.encode()) + b'ok'
+    before = b'HTTP/1.1 100 Continue\r\n\r\n' if interim else b''
+    attempt = _attempt(_serve(before + answer))
+    opened = targets_adapter.make_targets().open(attempt)
+    assert opened.err_value.kind is port.AttemptErrorKind.BROKEN
+    assert opened.err_value.may_have_run
+
+
+@pytest.mark.parametrize('count', [1, 3])
+def test_interim_answers_come_before_the_answer(count) -> None:
+    """The first was taken for the answer."""
+    interim = b'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n' * count
+    opened = targets_adapter.make_targets().open(
+        _attempt(_serve(interim + _head(2) + b'ok'))
+    )
+    assert opened.ok_value.status == 200
+    assert ('Link', 'x') not in opened.ok_value.headers
+    assert _read(opened) == b'ok'
+
+
+def test_interim_answers_without_end_are_broken() -> None:
+    interim = b'HTTP/1.1 100 Continue\r\n\r\n' * 1000
+    opened = targets_adapter.make_targets().open(_attempt(_serve(interim)))
+    assert opened.err_value.kind is port.AttemptErrorKind.BROKEN
--- a/tests/forwarding/test_spoilt_answers.py
+++ b/tests/forwarding/test_spoilt_answers.py
@@ -1,10 +1,19 @@
 """Tests against repeated refusals, errors within streams and cut heads."""
 
 import asyncio
+import time
 
 import pytest
 
+from tests.fakes.forwarding import answer_ok
 from tests.fakes.forwarding import Harness
+from tests.fakes.forwarding import make_table
+from tests.fakes.forwarding import ONCE
+from tests.fakes.forwarding import read_answer
+from tests.fakes.forwarding import request
+from wigeonfall.model.routing import CallerLimits
+
+INTERIM = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 REFUSAL = (
     b'HTTP/1.1 503 Full\r\nNot-Run: 1\r\nRequest-Id: %s\r\n'
@@ -185,3 +194,131 @@
             assert body == b''
 
     run(scenario)
+
+
+NO_STATUSES = (
+    '000 X',
+    '001 X',
+    '099 X',
+    '600 Status',
+    '999 X',
+    '20 X',
+    '2000 X',
+    '-20 X',
+    '2x0 X',
+    '0200 X',
+    '101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: h2c',
+)
+
+
+def odd_answer(served, status, before=b''):
+    """Write an answer and leave the connection open."""
+    request_id = served.headers['request-id']
+    served.write(
+        before
+        + f'HTTP/1.1 {status}\r\nReceipt: r1\r\nRequest-Id: {request_id}\r\n'
+        'Content-Length: 4\r\n\r\nfine'.encode()
+    )
+
+
+@pytest.mark.parametrize('status', NO_STATUSES)
+@pytest.mark.parametrize('before', [b'', INTERIM], ids=['alone', 'interim'])
+def test_answer_without_a_status_is_a_failure_at_once(status, before):
+    """It was taken for an interim one until the deadline, or passed on."""
+
+    async def script(served):
+        odd_answer(served, status, before)
+
+    async def scenario():
+        async with Harness(script) as site:
+            started_s = time.monotonic()
+            answer = await site.ask('/once/x', method='POST')
+            taken_s = time.monotonic() - started_s
+            assert answer[0] == 502
+            assert taken_s < ONCE.timeout_s / 2
+            assert any(name == 'TARGET_BACKED_OFF' for name, _ in site.events)
+
+    run(scenario)
+
+
+@pytest.mark.parametrize('status', NO_STATUSES)
+@pytest.mark.parametrize('kept', [False, True])
+@pytest.mark.parametrize('path', ['/safe/x', '/resumed/x'])
+def test_another_target_is_asked_after_an_answer_without_a_status(
+    status, kept, path
+):
+    async def script(served):
+        if served.headers['request-id'] == 'first':
+            served.answer(FIRST_EVENT)
+        else:
+            odd_answer(served, status)
+
+    async def sound(served):
+        served.answer(FIRST_EVENT)
+
+    async def scenario():
+        async with Harness(script, sound) as site:
+            odd, other = site.targets
+            if kept:
+                # One connection to the odd target is kept for the next.
+                while not odd.served:
+                    await site.ask('/safe/x', request_id='first')
+            statuses = [
+                (await site.ask(path, request_id=f'id-{number}'))[0]
+                for number in range(6)
+            ]
+            assert statuses == [200] * 6
+            assert other.served
+
+    run(scenario)
+
+
+@pytest.mark.parametrize('pieces', [1, 40])
+@pytest.mark.parametrize('closes', [False, True])
+@pytest.mark.parametrize('path', ['/safe/x', '/once/x', '/stream/x'])
+@pytest.mark.parametrize('read_bytes', [0, 200_000])
+@pytest.mark.parametrize('ends_first', [False, True])
+def test_early_answer_that_is_reset_during_an_upload_is_not_whole(
+    pieces, closes, path, read_bytes, ends_first
+):
+    """It has no length, so that its end could be taken for that of the body.
+
+    Callers get an error, or a chunked answer without its last chunk.
+    """
+    upload = b'u' * 3_000_000
+
+    async def serve(reader, writer):
+        head = await reader.readuntil(b'\r\n\r\n')
+        request_id = head.lower().partition(b'request-id: ')[2].split()[0]
+        writer.write(STREAM_HEAD % request_id)
+        writer.write(b'Connection: close\r\n' * closes + b'\r\n')
+        await reader.read(read_bytes) if read_bytes else None
+        for _ in range(pieces):
+            writer.write(b'data: part\n\n')
+            await writer.drain()
+            await asyncio.sleep(0.002)
+        if ends_first:
+            writer.write_eof()
+            await asyncio.sleep(0.05)
+        # Unread bytes of the upload make this a reset.
+        writer.transport.abort()
+
+    async def scenario():
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        table = make_table(limits=CallerLimits(body_bytes=4_000_000))
+        async with Harness(answer_ok, table=table) as site:
+            port = server.sockets[0].getsockname()[1]
+            site.targets[0].address = f'127.0.0.1:{port}'
+            site.store.put('targets', 't0', {'target': site.entry_of('t0')})
+            await asyncio.sleep(0.1)
+            reader, writer = await site.connect()
+            writer.write(request(path, method='POST', body=upload))
+            try:
+                status, *_ = await read_answer(reader)
+            except asyncio.IncompleteReadError:
+                status = 0
+            assert status in (0, 502)
+            writer.close()
+        server.close()
+
+    run(scenario)
--- a/wigeonfall/adapters/callers.py
+++ b/wigeonfall/adapters/callers.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import contextlib
-import http
 import logging
 import socket
 import threading
@@ -18,6 +17,7 @@
 from cheroot import server as cheroot_server
 from cheroot import wsgi
 
+from ..model import http_status
 from ..policy.memory import make_account
 from ..ports.callers import Call
 from ..ports.callers import HandleCall
@@ -245,8 +245,8 @@
             answer = handle(_make_call(environ, body))
         finally:
             room.release(holder)
-        status = http.HTTPStatus(answer.status)
-        start_response(f'{status.value} {status.phrase}', list(answer.headers))
+        phrase = http_status.phrase(answer.status)
+        start_response(f'{answer.status} {phrase}', list(answer.headers))
         return answer.body
 
     return application
--- a/wigeonfall/adapters/http_response.py
+++ b/wigeonfall/adapters/http_response.py
@@ -10,6 +10,9 @@
 import attrs
 import httptools
 
+from ..model import http_status
+
+MAX_INTERIM = 16  # answers before the final one
 _RECEIVE_BYTES = 65536
 
 
@@ -17,6 +20,10 @@
     """An answer is malformed or ended before its proven end."""
 
 
+class _InvalidHead(Exception):
+    """An answer has no status, or too many others come before it."""
+
+
 class _Parts:
     """What the parser has met since it was last asked."""
 
@@ -28,6 +35,8 @@
         self.ends_at_eof = False
         self.parser: httptools.HttpResponseParser | None = None
         self.whole = False
+        self.interim = False
+        self.interim_count = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header."""
@@ -37,9 +46,22 @@
         """Note the end of the head, and what it says of the connection.
 
         The parser forgets the latter at the end of the answer.
+
+        Raises:
+            _InvalidHead: the answer has no status, or too many others come
+                before it.
         """
         if self.parser is not None:
+            status = self.parser.get_status_code()
+            if not http_status.is_valid(status):
+                raise _InvalidHead(f'status {status}')
+            self.interim = http_status.is_interim(status)
             self.keep_alive = self.parser.should_keep_alive()
+        if self.interim:
+            self.interim_count += 1
+            if self.interim_count > MAX_INTERIM:
+                raise _InvalidHead(f'over {MAX_INTERIM} interim answers')
+            return
         framing = {'content-length', 'transfer-encoding'}
         names = {name.lower() for name, _ in self.headers}
         self.ends_at_eof = not framing & names
@@ -50,8 +72,12 @@
         self.body.append(body)
 
     def on_message_complete(self) -> None:
-        """Note the proven end."""
-        self.whole = True
+        """Note the proven end; after an interim answer, wait for the next."""
+        if self.interim:
+            self.interim = False
+            self.headers.clear()
+        else:
+            self.whole = True
 
 
 @attrs.define
@@ -138,5 +164,5 @@
         raise ResponseError('the connection ended inside an answer')
     try:
         parser.feed_data(data)
-    except httptools.HttpParserError as error:
+    except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
         raise ResponseError(f'malformed answer: {error}') from error
--- a/wigeonfall/adapters/object_http.py
+++ b/wigeonfall/adapters/object_http.py
@@ -12,6 +12,7 @@
 import urllib3
 
 from .. import decoding
+from ..model import http_status
 from ..ports.platform import PlatformError
 from ..ports.platform import PlatformErrorKind
 
@@ -129,9 +130,10 @@
 def _read_response(
     response: urllib3.BaseHTTPResponse, writes: bool
 ) -> Result[Answer, PlatformError]:
-    if response.status >= http.HTTPStatus.BAD_REQUEST:
+    if not http_status.is_success(response.status):
         kind = _KIND_OF_STATUS.get(response.status, PlatformErrorKind.INVALID)
-        return Err(PlatformError(kind, f'status {response.status}'))
+        unknown = writes and response.status < http.HTTPStatus.BAD_REQUEST
+        return Err(PlatformError(kind, f'status {response.status}', unknown))
     try:
         value = decoding.loads(response.data or b'{}')
         return Ok(Answer(value, response.headers))
--- a/wigeonfall/forwarding/calls.py
+++ b/wigeonfall/forwarding/calls.py
@@ -1,15 +1,13 @@
 """Calls of callers, and the answers to them."""
 
-import http
 from typing import Protocol
 
 import attrs
 
+from ..model import http_status
 from .bodies import Body
 from .bodies import make_body
 
-_REASON_PHRASES = {status.value: status.phrase for status in http.HTTPStatus}
-
 _JOINED_BYTES = 16 << 10  # of a body that is sent with its head
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -118,5 +116,7 @@
 
 
 def _status_line(status: int) -> bytes:
-    reason = _REASON_PHRASES.get(status, 'Status')
-    return b'HTTP/1.1 %d %s\r\n' % (status, reason.encode())
+    return b'HTTP/1.1 %d %s\r\n' % (
+        status,
+        http_status.phrase(status).encode(),
+    )
--- a/wigeonfall/forwarding/target_connection.py
+++ b/wigeonfall/forwarding/target_connection.py
@@ -1,15 +1,18 @@
 """HTTP/1.1 client connection to a target."""
 
+import array
 import asyncio
 import collections
 from collections.abc import Iterable
-import http
+import fcntl
 import socket
+import termios
 
 import attrs
 import httptools
 
 from .. import decoding
+from ..model import http_status
 from .calls import Headers
 from .framing import FramingBudget
 from .framing import READ_BYTES
@@ -71,6 +74,10 @@
     """A target sent more answers than a sound one does."""
 
 
+class _InvalidStatus(Exception):
+    """A target sent a number that is no status."""
+
+
 class TargetConnection(asyncio.BufferedProtocol):
     """A connection to a target.
 
@@ -104,6 +111,7 @@
         self.idle_until_s = 0.0
         self._framing = FramingBudget(MAX_FRAMING_BYTES)
         self._responses_begun = 0
+        self._sending = False
         self._change: asyncio.Future[None] | None = None
         self._buffered_bytes = 0
         self._paused = False
@@ -129,11 +137,13 @@
     async def write_parts(self, parts: Iterable[bytes | bytearray]) -> None:
         """Write parts of a body as fast as the target takes them."""
         assert self.transport is not None
+        self._sending = True
         for part in parts:
             await self._writable.wait()
             if self.ended or self.transport.is_closing():
                 return
             self.transport.write(part)
+        self._sending = False
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the memory for the next read."""
@@ -164,13 +174,31 @@
     def eof_received(self) -> bool:
         """Complete an answer whose end is that of the connection."""
         self.ended = True
-        if self.responses and self.responses[-1].ends_at_eof:
-            self.responses[-1].complete = True
-        else:
+        last = self.responses[-1] if self.responses else None
+        if last is None or not last.ends_at_eof:
             self.error = self.error or 'connection ended'
+        elif self._is_early_success(last):
+            self.error = self.error or 'connection ended within the request'
+        else:
+            last.complete = True
         self._wake()
         return False
 
+    def _is_early_success(self, response: Response) -> bool:
+        """Return whether a success came before the request was sent.
+
+        Its target has not read the whole request, so that the end of the
+        connection may be that of the target, not that of the answer.
+        """
+        assert self.transport is not None and response.head is not None
+        if not http_status.is_success(response.head.status):
+            return False
+        return (
+            self._sending
+            or self.transport.get_write_buffer_size() > 0
+            or _unacked_bytes(self.transport.get_extra_info('socket')) > 0
+        )
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the end, and an error if an answer is incomplete."""
         self.ended = True
@@ -197,27 +225,31 @@
         self.responses[-1].headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Store the head and determine how the body ends."""
+        """Store the head and determine how the body ends.
+
+        Raises:
+            _InvalidStatus: the answer has no status.
+        """
+        status = self.parser.get_status_code()
+        if not http_status.is_valid(status):
+            raise _InvalidStatus(f'status {status}')
         self._framing.completed()
         response = self.responses[-1]
         headers = tuple(response.headers)
         length = _length(headers)
         chunked = any(n == b'transfer-encoding' for n, _ in headers)
-        status = self.parser.get_status_code()
         response.head = ResponseHead(
             status, headers, None if chunked else length
         )
         if not self.parser.should_keep_alive():
             self.keep_alive = False
-        if self.is_head_request and status >= http.HTTPStatus.OK:
+        interim = http_status.is_interim(status)
+        if self.is_head_request and not interim:
             # The parser does not know that an answer to HEAD has no body.
             response.complete = True
             self.keep_alive = False
             return
-        has_body = (
-            status >= http.HTTPStatus.OK
-            and status not in _STATUSES_WITHOUT_BODY
-        )
+        has_body = not interim and status not in _STATUSES_WITHOUT_BODY
         response.ends_at_eof = has_body and not chunked and length is None
 
     def on_body(self, body: bytes) -> None:
@@ -254,6 +286,7 @@
         self.used = True
         self.responses.clear()
         self._responses_begun = 0
+        self._sending = False
         self._framing.completed()
         self.idle = True
 
@@ -281,6 +314,16 @@
     return None
 
 
+def _unacked_bytes(sock: socket.socket) -> int:
+    """Return how many bytes sent the peer's host has not acknowledged."""
+    counted = array.array('i', [0])
+    try:
+        fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, counted)
+    except OSError:  # closed, or the system does not tell
+        return 0
+    return counted[0]
+
+
 def _set_options(sock: socket.socket) -> None:
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
--- a/wigeonfall/serving/target_orders.py
+++ b/wigeonfall/serving/target_orders.py
@@ -18,6 +18,7 @@
 import xxhash
 
 from ..events import Event
+from ..model import http_status
 from ..model.target import Target
 from ..ports.targets import Attempt
 from ..ports.targets import AttemptFailed
@@ -98,7 +99,9 @@
         return SendResult.FENCED
     if answer.status == STATUS_RATE_LIMITED:
         return SendResult.RATE_LIMITED
-    return SendResult.DONE if answer.status < 300 else SendResult.FAILED
+    if http_status.is_success(answer.status):
+        return SendResult.DONE
+    return SendResult.FAILED
 
 
 def _attempt(order: TargetOrder) -> Attempt:
