Read requests that offer an upgrade like any others

Cause: the parser takes such a head, and CONNECT, for the end of HTTP: it reports the request as complete and raises. The head is read again without the offer now, in any framing; CONNECT is answered 501 and reaches no target. What an answer names for its connection is not passed on, but what both ends need is.

Also mended, of callers that send ahead: 100 Continue came in the middle of the answer before, and requests that were read behind another one when a stop began were dropped without an answer. The context that connections share has a module of its own.

--- a/tests/fakes/forwarding.py
+++ b/tests/fakes/forwarding.py
@@ -207,6 +207,7 @@
         self.store = MemoryObjects()
         self.events: list[tuple[str, dict]] = []
         self.table = table or make_table()
+        self.closing = False  # connections, after their answers
         self._stop = threading.Event()
 
     async def __aenter__(self):
@@ -219,7 +220,7 @@
         self.port = ServerContext(
             handle=self.instance.handle,
             limits=self.instance.limits,
-            closing=lambda: False,
+            closing=lambda: self.closing,
         )
         self._server = await caller_server.serve('127.0.0.1:0', self.port, 100)
         number = self._server.sockets[0].getsockname()[1]
--- a/wigeonfall/forwarding/attempt.py
+++ b/wigeonfall/forwarding/attempt.py
@@ -184,7 +184,7 @@
             AttemptOutcome.BROKEN, head.status, 'answer without receipt'
         )
     if head.status >= http.HTTPStatus.MULTIPLE_CHOICES:
-        return await relay_failure(sent, head, relay)
+        return await relay_failure(context, sent, head, relay)
     if request.route.streaming:
         return await relay_stream(context, request, sent, head, relay)
     return await relay_plain(context, request, sent, head, relay)
--- a/wigeonfall/forwarding/caller_server.py
+++ b/wigeonfall/forwarding/caller_server.py
@@ -6,25 +6,19 @@
 
 import asyncio
 import collections
-from collections.abc import Awaitable
-from collections.abc import Callable
 import http
 import time
 from typing import Any
 
-import attrs
-
-from ..model.routing import CallerLimits
 from ..policy.memory import Cause
-from ..policy.memory import MemoryAccount
 from .caller_memory import CallerMemory
 from .caller_memory import ConnectionState
 from .caller_memory import PENDING_BYTES
 from .calls import Call
 from .calls import Headers
 from .calls import Reply
-from .framing import READ_BYTES
 from .request_reader import RequestReader
+from .server_context import ServerContext
 
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 _MAX_WRITE_BUFFER_BYTES = 64 << 10  # above, reading from targets pauses
@@ -36,33 +30,6 @@
     413: (),
 }
 LINGER_S = 0.5  # to discard the rest of a refused request
-HandleCall = Callable[[Call, Reply], Awaitable[None]]
-
-
-@attrs.frozen
-class ServerContext:
-    """What the connections of a server share.
-
-    Attributes:
-        handle: answers a request.
-        limits: returns the current limits on requests.
-        closing: returns whether to close connections after an answer.
-        connections: the open connections.
-        read_buffer: memory that they read into.
-        account: the memory that the process holds for others.
-        on_closed: called when a connection is closed or a request refused
-            for its memory: address of the caller, cause, bytes held.
-    """
-
-    handle: HandleCall
-    limits: Callable[[], CallerLimits]
-    closing: Callable[[], bool]
-    connections: set['CallerConnection'] = attrs.field(factory=set)
-    read_buffer: bytearray = attrs.field(
-        factory=lambda: bytearray(READ_BYTES), repr=False
-    )
-    account: MemoryAccount = attrs.field(factory=MemoryAccount, repr=False)
-    on_closed: Callable[[str, Cause, int], None] = lambda *_: None
 
 
 class CallerConnection(asyncio.BufferedProtocol):
@@ -76,6 +43,7 @@
             collections.deque()
         )
         self._reading_paused = False
+        self._continue_due = False  # for the body of the incomplete request
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._writable = asyncio.Event()
@@ -159,13 +127,20 @@
             self._pause_if_ahead()
 
     def head_read(self, expects: bool) -> None:
-        """Answer `Expect: 100-continue`."""
+        """Answer `Expect: 100-continue`, after all earlier answers."""
         self._stop_timer()
-        if expects:
+        self._continue_due = expects
+        if self._task is None:
+            self._ask_for_body()
+
+    def _ask_for_body(self) -> None:
+        if self._continue_due:
+            self._continue_due = False
             self.write(_CONTINUE)
 
     def request_read(self, call: Call, close: bool, size: int) -> None:
         """Queue the request to be answered after earlier ones."""
+        self._continue_due = False
         self._pending_calls.append((call, close, size))
         if self._task is None:
             self._start_next()
@@ -202,8 +177,15 @@
         await self._writable.wait()
 
     def closing(self) -> bool:
-        """Whether to close the connection after an answer."""
-        return self._context.closing()
+        """Whether to close the connection after an answer.
+
+        Not before all requests that it has read are answered.
+        """
+        return (
+            self._context.closing()
+            and not self._pending_calls
+            and self._reader.started_s is None
+        )
 
     def close_for(self, cause: Cause) -> None:
         """Close the connection, or refuse its incomplete request."""
@@ -352,6 +334,7 @@
         else:
             if self._reading_paused:
                 self._resume_reading()
+            self._ask_for_body()
             limits = self._context.limits()
             if self._reader.started_s is None:
                 self._start_timer(limits.idle_timeout_s)
--- a/wigeonfall/forwarding/internal_pages.py
+++ b/wigeonfall/forwarding/internal_pages.py
@@ -12,12 +12,12 @@
 from .. import decoding
 from ..events import Event
 from ..recorder import Record
-from .caller_server import HandleCall
 from .calls import Call
 from .calls import Headers
 from .calls import Reply
 from .exchange import ConnectionPool
 from .exchange import ExchangeError
+from .server_context import HandleCall
 from .store_view import StoreView
 
 SNAPSHOT_PATH = b'/snapshot'
--- a/wigeonfall/forwarding/process.py
+++ b/wigeonfall/forwarding/process.py
@@ -27,9 +27,9 @@
 from ..metrics import show_account
 from ..policy.memory import Cause
 from . import settings as settings_module
-from .caller_server import ServerContext
 from .instance import Instance
 from .platform_adapter import PlatformAdapter
+from .server_context import ServerContext
 from .settings import ForwardingSettings
 
 READY_POLL_INTERVAL_S = 0.05
--- a/wigeonfall/forwarding/relaying.py
+++ b/wigeonfall/forwarding/relaying.py
@@ -16,6 +16,7 @@
 from .calls import Headers
 from .calls import Reply
 from .exchange import Exchange
+from .header_names import HeaderNames
 from .observations import Observations
 from .part_watch import PartWatch
 from .routed_request import caller_headers
@@ -124,6 +125,10 @@
 class RelayContext(Protocol):
     """What relaying needs."""
 
+    @property
+    def names(self) -> HeaderNames:
+        """Names of headers."""
+
     @property
     def observations(self) -> Observations:
         """Records observations of targets."""
@@ -178,7 +183,7 @@
 
 
 async def relay_failure(
-    sent: Sent, head: ResponseHead, relay: Relay
+    context: RelayContext, sent: Sent, head: ResponseHead, relay: Relay
 ) -> AttemptResult:
     body = await sent.exchange.read_all(BUFFERED_BODY_BYTES)
     if body is None:
@@ -187,7 +192,7 @@
             head.status,
             'error answer too long to buffer',
         )
-    headers = caller_headers(head.headers)
+    headers = caller_headers(head.headers, context.names)
     answer = FailureAnswer(head.status, headers, body)
     first_s = time.monotonic() - sent.started_s
     if head.status < SERVER_ERROR and not relay.started:
@@ -239,7 +244,7 @@
 ) -> AttemptResult:
     first_s = _record_first(context, sent, time.monotonic())
     reply = relay.reply
-    headers = caller_headers(head.headers)
+    headers = caller_headers(head.headers, context.names)
     short = head.length is not None and head.length <= BUFFERED_BODY_BYTES
     if short or request.route.repeatable:
         body = await sent.exchange.read_all(BUFFERED_BODY_BYTES)
@@ -331,7 +336,9 @@
             record_pace(context, request, sent, now_s)
         if not relay.started:
             relay.started = True
-            relay.reply.start(head.status, caller_headers(head.headers), None)
+            relay.reply.start(
+                head.status, caller_headers(head.headers, context.names), None
+            )
         await relay.reply.write(whole)
     # Without events or a proven end, the target may have crashed at once.
     empty = splitter.event_count == events_before
--- a/wigeonfall/forwarding/request_reader.py
+++ b/wigeonfall/forwarding/request_reader.py
@@ -74,6 +74,7 @@
         self._header_limit_bytes = self._body_limit_bytes = 0
         self.received_bytes = 0
         self.started_s: float | None = None
+        self._began_s: float | None = None  # of a head that is read again
         self.head_complete = False
         self._body: Body | None = None
         self._reset_message()
@@ -85,12 +86,52 @@
         self.received_bytes += len(data)
         self._framing.received(data)
         try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
+            self._parse(data)
+        except httptools.HttpParserError:
             self._reject(http.HTTPStatus.BAD_REQUEST)
         if self._framing.exceeded:
             self._reject(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
+    def _parse(self, data: bytes | memoryview) -> None:
+        """Parse bytes, beyond heads that the parser takes for the last.
+
+        After a head that offers another protocol it reads neither a body nor
+        another request. An offer may be ignored, so the same head is read
+        again without it.
+        """
+        while not self._stopped:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as end:
+                data = data[end.args[0] :]
+            if self._parser.get_method() == b'CONNECT':
+                # What follows is meant for the host that it names.
+                self._reject(http.HTTPStatus.NOT_IMPLEMENTED)
+                return
+            head = self._head_without_offer()
+            self._began_s = self.started_s
+            self._parser = httptools.HttpRequestParser(self)
+            self._parser.feed_data(head)
+            self._began_s = None
+
+    def _head_without_offer(self) -> bytes:
+        """Return the head that was read, without its `Upgrade` headers."""
+        lines = [
+            b'%s %s HTTP/%s'
+            % (
+                self._parser.get_method(),
+                self._url,
+                self._parser.get_http_version().encode(),
+            )
+        ]
+        lines.extend(
+            b'%s: %s' % (name, value)
+            for name, value in self._headers
+            if name != b'upgrade'
+        )
+        return b'\r\n'.join([*lines, b'', b''])
+
     def stop(self) -> None:
         """Drop the incomplete request, and ignore what follows."""
         self._stopped = True
@@ -105,7 +146,7 @@
             self._header_limit_bytes = limits.header_bytes
             self._body_limit_bytes = limits.body_bytes
             self._framing.most_bytes = limits.header_bytes + REQUEST_LINE_BYTES
-            self.started_s = time.monotonic()
+            self.started_s = self._began_s or time.monotonic()
             self._memory.holder.progress_s = self.started_s
 
     def on_url(self, url: bytes) -> None:
@@ -133,6 +174,8 @@
 
     def on_headers_complete(self) -> None:
         """Make room for the body before any of it is read."""
+        if self._parser.should_upgrade():
+            return
         self._framing.completed()
         self.head_complete = True
         expects = False
@@ -161,6 +204,8 @@
 
     def on_message_complete(self) -> None:
         """Pass the request on."""
+        if self._parser.should_upgrade():
+            return
         self._framing.completed()
         if self._stopped or self.started_s is None:
             return
--- a/wigeonfall/forwarding/routed_request.py
+++ b/wigeonfall/forwarding/routed_request.py
@@ -33,6 +33,7 @@
         b'trailer',
         b'transfer-encoding',
         b'upgrade',
+        b'http2-settings',
         b'content-length',
         b'expect',
     }
@@ -168,7 +169,7 @@
     call = request.call
     left_ms = max(1, int((request.deadline_s - now_s) * 1000))
     lines = [b'%s %s HTTP/1.1\r\n' % (call.method, call.path)]
-    connection_only = _connection_tokens(call, names)
+    connection_only = _connection_only(call.headers, names)
     overridden = {
         names.time_left_ms.lower(),
         names.key.lower(),
@@ -179,8 +180,7 @@
         overridden.add(names.last_event_id.lower())
     for name, value in call.headers:
         if (
-            name in _HOP_BY_HOP_HEADERS
-            or name in connection_only
+            name in connection_only
             or name in overridden
             or name in names.reserved
         ):
@@ -209,12 +209,11 @@
         return value.encode()
 
 
-def caller_headers(headers: Headers) -> Headers:
+def caller_headers(headers: Headers, names: HeaderNames) -> Headers:
     """Return the headers of an answer without those of the connection."""
+    connection_only = _connection_only(headers, names)
     return tuple(
-        (name, value)
-        for name, value in headers
-        if name not in _HOP_BY_HOP_HEADERS
+        (name, value) for name, value in headers if name not in connection_only
     )
 
 
@@ -222,15 +221,26 @@
     return Err(Rejection(int(status), reason))
 
 
-def _connection_tokens(call: Call, names: HeaderNames) -> frozenset[bytes]:
-    forwarded = {names.request_id.lower(), b'host', b'content-type'}
-    tokens = {
+def _connection_only(headers: Headers, names: HeaderNames) -> frozenset[bytes]:
+    """Return the names of headers that concern one connection only.
+
+    A sender may name more of them, but none that both ends need.
+    """
+    named = {
         part.strip().lower()
-        for name, value in call.headers
+        for name, value in headers
         if name == b'connection'
         for part in value.split(b',')
     }
-    return frozenset(tokens - forwarded)
+    needed = {
+        names.request_id.lower(),
+        names.receipt.lower(),
+        names.token_counts.lower(),
+        names.prompt_parts.lower(),
+        b'host',
+        b'content-type',
+    }
+    return _HOP_BY_HOP_HEADERS | (named - needed)
 
 
 def _time_left_s(call: Call, names: HeaderNames, route: Route) -> float:
