Move to a new version as late as old targets can still finish

Cause: requests moved after half of the time, and the move was final as soon as old targets were idle.

--- a/wigeonfall/forwarding/attempt.py
+++ b/wigeonfall/forwarding/attempt.py
@@ -59,7 +59,8 @@
         on_misdirected: called when another target answered at the address
             of a target.
         on_outcome: called with each outcome, as evidence on the version of
-            the target.
+            the target: whether it is good, the time to the first byte, and
+            to the end.
         on_time: called with the time between events of an answer, or of a
             whole answer without events.
         parts: learns which prompt parts crash targets.
@@ -70,7 +71,7 @@
     names: HeaderNames
     on_prompt_read: Callable[[Slot], None]
     on_misdirected: Callable[[Target], object]
-    on_outcome: Callable[[RoutedRequest, Target, bool, float], None]
+    on_outcome: Callable[[RoutedRequest, Target, bool, float, float], None]
     on_time: Callable[[RoutedRequest, Target, float], None]
     parts: PartWatch
 
@@ -258,4 +259,4 @@
     if result.outcome is not AttemptOutcome.NOT_RUN:
         # Errors of callers are as frequent with any version.
         ok = answered and result.status < http.HTTPStatus.BAD_REQUEST
-        context.on_outcome(request, target, ok, result.first_s)
+        context.on_outcome(request, target, ok, result.first_s, total_s)
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -73,7 +73,7 @@
         self._store = adapter.make_store(settings.platform.address)
         own = settings.instance
         self._balancer = LoadBalancer(own.data_center, own.name)
-        trials = Trials()
+        trials = Trials(lambda: self._settings.rollout.bound)
         self._cluster_state = ClusterState(
             adapter,
             self._balancer,
--- a/wigeonfall/forwarding/rollouts.py
+++ b/wigeonfall/forwarding/rollouts.py
@@ -22,7 +22,7 @@
 from ..recorder import Record
 from .routed_request import RoutedRequest
 
-DECISION_INTERVAL_S = 0.5
+DECISION_INTERVAL_S = 0.25  # moves are due within a second or two
 
 
 @attrs.frozen
@@ -58,7 +58,12 @@
         return self.trials.allows(request.service, version, request.id)
 
     def add_evidence(
-        self, request: RoutedRequest, target: Target, ok: bool, first_s: float
+        self,
+        request: RoutedRequest,
+        target: Target,
+        ok: bool,
+        first_s: float,
+        lasted_s: float = 0.0,
     ) -> None:
         """Count an answer as evidence on the version of its target."""
         now_s = time.monotonic()
@@ -78,7 +83,13 @@
         if request.customer is not None:
             parts.append(version_failures.CUSTOMER + request.customer.name)
         self.trials.add_evidence(
-            request.service, target.version, ok, first_s, slowest_old_s, parts
+            request.service,
+            target.version,
+            ok,
+            first_s,
+            slowest_old_s,
+            parts,
+            lasted_s,
         )
 
     def add_time(
--- a/wigeonfall/forwarding/settings.py
+++ b/wigeonfall/forwarding/settings.py
@@ -15,6 +15,7 @@
 from ..policy.room import resend_budget
 from ..policy.room.terms import RoomTerms
 from ..policy.room import token_quota
+from ..policy.versions.move_time import ExposureBound
 from ..settings import InstanceSettings
 from ..settings import LogSettings
 from ..settings import PlatformSettings
@@ -140,6 +141,25 @@
     stop_ms: float = 0.0
 
 
+@attrs.frozen
+class RolloutSettings:
+    """Bound on the requests that reach a new version which is bad.
+
+    Attributes:
+        exposed_share: part of the requests of its service, within the
+            duration of the order.
+        exposed_requests: requests beside that.
+    """
+
+    exposed_share: float = ExposureBound().share
+    exposed_requests: float = ExposureBound().requests
+
+    @property
+    def bound(self) -> ExposureBound:
+        """The bound."""
+        return ExposureBound(self.exposed_share, self.exposed_requests)
+
+
 @attrs.frozen
 class SharesSettings:
     """How requests share scarce room.
@@ -175,6 +195,7 @@
     cold: ColdSettings = ColdSettings()
     evacuation: EvacuationSettings = EvacuationSettings()
     shares: SharesSettings = SharesSettings()
+    rollout: RolloutSettings = RolloutSettings()
 
     @property
     def seed_addresses(self) -> tuple[str, ...]:
@@ -208,6 +229,8 @@
     'stop_ms': ini.in_range(0, 86_400_000),
     'floor': ini.in_range(0, 1),
     'booked': ini.in_range(0, 1),
+    'exposed_share': ini.in_range(0, 1),
+    'exposed_requests': ini.in_range(0, 1_000_000_000),
     'level': settings.check_level,
 }
 
