--- a/tests/fakes/odd_entries.py
+++ b/tests/fakes/odd_entries.py
@@ -33,6 +33,14 @@
 }
 
 
+# Names of entries, JSON text included.
+ODD_NAMES = {
+    'name with half a surrogate pair': 'i-\ud800',
+    'name of 5000 characters': 'n' * 5000,
+    'empty name': '',
+}
+
+
 def odd_entry(kind, **changes):
     """Return an entry as JSON text.
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -16,6 +16,15 @@
 CALL_PAUSE_S = 0.02  # of a caller
 # Of one without an answer: a process that starts refuses all at once.
 RECONNECT_PAUSE_S = 0.2
+BODY = b'{}'
+# What requests say of their connection; those without more are usual.
+OFFERS = (
+    b'',
+    b'',
+    b'Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n'
+    b'HTTP2-Settings: AAMAAABk\r\n',
+    b'Connection: upgrade\r\nUpgrade: websocket\r\n',
+)
 
 
 class Target:
@@ -23,8 +32,8 @@
 
     Attributes:
         mode: what it does with requests: "fine", "errors", "resets",
-            "hangs", "refuses" or "cuts" streams, or "pauses": it refuses
-            and names a time.
+            "hangs", "refuses" or "cuts" streams, "no status" in its
+            answers, or "pauses": it refuses and names a time.
         leaving: whether its answers say that it leaves.
         data_center: its data centre.
         endless: what it sends without end in streams, b'' for nothing.
@@ -53,7 +62,9 @@
         ):
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
-                await reader.readexactly(int(_header(head, b'length') or 0))
+                length = int(_header(head, b'length') or 0)
+                if await reader.readexactly(length) != BODY:
+                    self._seen.broken.append(f'another body after {head!r}')
                 if not await self._answer(head, writer):
                     break
         writer.close()
@@ -82,6 +93,11 @@
             _reset(writer)
             return False
         common += PREFIX + b'Server-Stamp: s\r\n'
+        if self.mode == 'no status':
+            writer.write(
+                b'HTTP/1.1 000 None\r\nContent-Length: 0\r\n%s\r\n' % common
+            )
+            return True
         if self.mode == 'errors':
             writer.write(
                 b'HTTP/1.1 500 Fault\r\nContent-Length: 0\r\n%s\r\n' % common
@@ -152,7 +168,8 @@
         try:
             async with asyncio.timeout(promises.LIMIT_S + 4.0):
                 reader, writer = await self._connection(instance)
-                writer.write(_request(request_id, kind))
+                offer = self._choices.choice(OFFERS)
+                writer.write(_request(request_id, kind, offer))
                 head = await reader.readuntil(b'\r\n\r\n')
                 status = int(head[9:12])
                 retry = bool(_header(head, b'retry-after'))
@@ -195,17 +212,20 @@
             known[1].close()
 
 
-def _request(request_id: str, kind: str) -> bytes:
+def _request(request_id: str, kind: str, offer: bytes) -> bytes:
     return (
-        b'POST /%s/x HTTP/1.1\r\nHost: %s\r\nContent-Length: 2\r\n'
-        b'%sRequest-Id: %s\r\n%sDeadline-Ms: %d\r\n\r\n{}'
+        b'POST /%s/x HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n'
+        b'%sRequest-Id: %s\r\n%sDeadline-Ms: %d\r\n%s\r\n%s'
         % (
             kind.encode(),
             HOST,
+            len(BODY),
             PREFIX,
             request_id.encode(),
             PREFIX,
             promises.LIMIT_S * 1000,
+            offer,
+            BODY,
         )
     )
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -13,6 +13,7 @@
 from tests.fakes.metadata_store import MetadataStore
 from tests.fakes.odd_entries import ODD
 from tests.fakes.odd_entries import odd_entry
+from tests.fakes.odd_entries import ODD_NAMES
 from tests.fakes.tcp_proxy import TcpProxy
 from tests.fakes.users_platform import Instance
 from tests.soak.callers import Caller
@@ -24,7 +25,9 @@
 from tests.soak.promises import STORE_AWAY
 from wigeonfall.events import Event
 
-MODES = ('errors', 'resets', 'hangs', 'refuses', 'cuts')
+MODES = ('errors', 'resets', 'hangs', 'refuses', 'cuts', 'no status')
+# Errors that nobody expected; each would stop something else.
+UNEXPECTED = (Event.TASK_FAILED, Event.PAGE_FAILED)
 FAULT_S = (0.2, 2.0)
 GAP_S = (0.2, 1.5)
 DATA_CENTERS = ('z', 'y')
@@ -92,6 +95,8 @@
                 await self._start()
                 await self._serve_with_faults()
                 await self._serve_healed()
+                for instance in self._instances:
+                    self._judge_events(instance)
             finally:
                 for instance in self._instances:
                     await instance.__aexit__()
@@ -279,13 +284,17 @@
             objects.put('config', 'main', self.manifest())
             return lambda: None
 
-        odd = itertools.cycle(sorted(ODD))
+        kinds = sorted((*ODD, *ODD_NAMES))
+        random.Random(f'{self.plan.seed}-odd').shuffle(kinds)
+        odd = itertools.cycle(kinds)
 
         def spoil() -> Undo:
             kind = next(odd)
-            self.store.raw[kind] = odd_entry(kind, Service='s')
-            objects.put('servers', 'odd', {'raw': kind})
-            return lambda: objects.discard('servers', 'odd')
+            name = ODD_NAMES.get(kind, 'odd')
+            if kind in ODD:
+                self.store.raw[kind] = odd_entry(kind, Service='s')
+            objects.put('servers', name, {'raw': kind})
+            return lambda: objects.discard('servers', name)
 
         return 'store', (
             ('away', away),
@@ -314,6 +323,14 @@
         await instance.__aexit__()
         await instance.__aenter__()
 
+    def _judge_events(self, instance: Instance) -> None:
+        """See that nothing ended by an unexpected error."""
+        for entry in instance.events():
+            if entry['event'] in {event.number for event in UNEXPECTED}:
+                self.seen.broken.append(
+                    f'{instance.name}: {entry["text"]}: {entry["fields"]}'
+                )
+
     async def _serve_healed(self) -> None:
         """See that each instance serves each route and follows changes."""
         self.version += 1
--- a/tests/users_platform/test_odd_entries.py
+++ b/tests/users_platform/test_odd_entries.py
@@ -8,6 +8,7 @@
 from tests.fakes.metadata_store import MetadataStore
 from tests.fakes.odd_entries import ODD
 from tests.fakes.odd_entries import odd_entry
+from tests.fakes.odd_entries import ODD_NAMES
 from tests.fakes.odd_entries import SOUND
 from tests.fakes.users_platform import Instance
 from tests.users_platform.test_endless_answers import answer
@@ -75,9 +76,10 @@
     follow_beside(tmp_path, write_odd)
 
 
-@pytest.mark.parametrize('name', ['i-\ud800', 'n' * 5000, ''])
-def test_an_odd_name_leaves_the_others_in_use(name, tmp_path):
+@pytest.mark.parametrize('kind', ODD_NAMES)
+def test_an_odd_name_leaves_the_others_in_use(kind, tmp_path):
     """No machine came back while an entry with such a name stood."""
+    name = ODD_NAMES[kind]
     follow_beside(
         tmp_path,
         lambda store: store.objects.put('servers', name, {'Service': 'r'}),
