--- a/tests/forwarding/test_connection_fields.py
+++ b/tests/forwarding/test_connection_fields.py
@@ -8,6 +8,7 @@
 from tests.fakes.forwarding import Harness
 from tests.fakes.forwarding import read_answer
 from tests.fakes.forwarding import request
+from wigeonfall.forwarding.caller_server import MAX_PENDING_CALLS
 
 OFFERS = {
     'h2c': (
@@ -259,3 +260,23 @@
             assert await reader.read() == b''
 
     run(scenario)
+
+
+def test_a_caller_that_sends_ahead_for_ever_does_not_hold_up_a_stop():
+    """Each answer would leave the connection open for the next request."""
+
+    async def scenario():
+        async with Harness(answer_ok) as site:
+            reader, writer = await site.connect()
+            site.closing = True
+            writer.write(request('/safe/x', 'id-0') * 3)
+            answers = 0
+            while True:
+                _, headers, _ = await read_answer(reader)
+                answers += 1
+                if headers.get('connection') == 'close':
+                    break
+                writer.write(request('/safe/x', f'id-{answers}'))
+            assert 3 <= answers <= 2 * MAX_PENDING_CALLS
+
+    run(scenario)
--- a/tests/users_platform/test_store.py
+++ b/tests/users_platform/test_store.py
@@ -172,6 +172,16 @@
     assert served.store.watch('config', 1, 1.0).err_value.kind is kind
 
 
+@pytest.mark.parametrize('status', [0, 99, 101, 302, 600, 999])
+def test_an_answer_without_success_is_an_error(served, status):
+    """A redirect, or a number that is no status, passed for success."""
+    answer = {'Items': [], 'events': [], 'CurrentRev': 9}
+    served.answers = [(status, answer)] * 3
+    assert served.store.list('servers', False).is_err()
+    assert served.store.watch('servers', 1, 1.0).is_err()
+    assert served.store.create('servers', 'a', {}).is_err()
+
+
 @pytest.mark.parametrize('answer', [b'{', b'[]', b'{"events": [5]}', b'{}'])
 def test_an_invalid_answer_is_an_error(served, answer):
     served.answers = [(200, answer)]
--- a/wigeonfall/forwarding/caller_server.py
+++ b/wigeonfall/forwarding/caller_server.py
@@ -44,6 +44,7 @@
         )
         self._reading_paused = False
         self._continue_due = False  # for the body of the incomplete request
+        self._last_answers = 0  # begun while the server closes connections
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._writable = asyncio.Event()
@@ -179,13 +180,14 @@
     def closing(self) -> bool:
         """Whether to close the connection after an answer.
 
-        Not before all requests that it has read are answered.
+        Not before all requests that it had read are answered; a caller that
+        goes on sending ahead is not waited for.
         """
-        return (
-            self._context.closing()
-            and not self._pending_calls
-            and self._reader.started_s is None
-        )
+        if not self._context.closing():
+            return False
+        self._last_answers += 1
+        ahead = self._pending_calls or self._reader.started_s is not None
+        return not ahead or self._last_answers > MAX_PENDING_CALLS
 
     def close_for(self, cause: Cause) -> None:
         """Close the connection, or refuse its incomplete request."""
