Ask the store for a kind only while it is still needed

A listing that became due just before a peer helped was made all the same. What is due is decided anew at each check; a constant that nothing uses any more is gone. test_snapshot_sync and test_view_lag passed three times.

--- a/wigeonfall/forwarding/snapshot_sync.py
+++ b/wigeonfall/forwarding/snapshot_sync.py
@@ -22,7 +22,6 @@
 
 WATCH_LAG_S = 0.4  # a working watch delivers a change before this time
 CHECK_INTERVAL_S = 0.1
-FETCH_PAUSE_S = 0.2  # between two fetches, as changes come in series
 
 
 @attrs.frozen
@@ -77,6 +76,8 @@
                     context.fleet_size(now_s), now_s
                 ):
                     context.listings_due.add(kind)
+                else:
+                    context.listings_due.discard(kind)
                 if kind in fetches and not fetches[kind].done():
                     continue
                 grace_s = WATCH_LAG_S if watches else CHECK_INTERVAL_S
