--- a/bench/membership.py
+++ b/bench/membership.py
@@ -18,6 +18,7 @@
 import numpy
 import typer
 
+from tests.fakes.ports import free_ports
 from tests.fakes import processes
 from wigeonfall.adapters import configuration_topic
 from wigeonfall.adapters import membership_topic
@@ -171,7 +172,7 @@
 
 
 def _measure(size: int, seconds: float) -> dict[str, Any]:
-    ports = ','.join(str(port) for port in processes.free_ports(size))
+    ports = ','.join(str(port) for port in free_ports(size))
     workers = [
         processes.start(
             f'worker-{first}',
--- a/tests/adapters/test_ledger_peers.py
+++ b/tests/adapters/test_ledger_peers.py
@@ -9,7 +9,7 @@
 from result import Err
 from result import Ok
 
-from tests.fakes import processes
+from tests.fakes.ports import free_ports
 from tests.policy import test_ledger
 from wigeonfall.adapters import event_loop
 from wigeonfall.adapters import ledger_peers
@@ -29,7 +29,7 @@
 
 
 def _serve(loop, accept) -> instance.Instance:
-    (port,) = processes.free_ports(1)
+    (port,) = free_ports(1)
 
     async def start():
         service = ledger_peers.LedgerService(accept)
@@ -68,7 +68,7 @@
 
 
 def test_an_owner_that_is_gone_took_nothing(loop) -> None:
-    (port,) = processes.free_ports(1)
+    (port,) = free_ports(1)
     gone = instance.Instance('gone', 'zac-a', f'127.0.0.1:{port}')
     client = ledger_peers.LedgerClient(loop.loop, None)
     decided = client.forward(gone, 0, [test_ledger.make_claim()])
--- a/tests/failure/test_leaving_targets.py
+++ b/tests/failure/test_leaving_targets.py
@@ -14,6 +14,7 @@
 import pytest
 
 from tests.fakes import fleet as fleet_module
+from tests.fakes.ports import free_ports
 from tests.fakes import processes
 
 KEY = 'example-key-of-carniceros-norte'
@@ -36,7 +37,7 @@
 
 
 def _plan() -> fleet_module.Plan:
-    (port,) = processes.free_ports(1)
+    (port,) = free_ports(1)
     return fleet_module.Plan(
         example='co-op',
         instances=INSTANCES,
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -10,6 +10,7 @@
 import urllib3
 
 from . import processes
+from .ports import free_ports
 from .tcp_proxy import TcpProxy
 
 EXAMPLES = processes.REPOSITORY / 'etc'
@@ -219,7 +220,7 @@
             for data_center, names in self.plan.instances.items()
             for name in names
         ]
-        ports = iter(processes.free_ports(3 * len(placed)))
+        ports = iter(free_ports(3 * len(placed)))
         addresses = {
             name: tuple(f'{HOST}:{next(ports)}' for _ in range(3))
             for _, name in placed
--- a/tests/fakes/processes.py
+++ b/tests/fakes/processes.py
@@ -2,13 +2,10 @@
 
 import collections
 from collections.abc import Callable
-from collections.abc import Iterator
-import itertools
 import json
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import threading
@@ -21,9 +18,6 @@
 REPOSITORY = pathlib.Path(__file__).resolve().parents[2]
 KEPT_LINES = 100_000
 START_TIMEOUT_S = 30.0
-FIRST_PORT = 10_240
-LAST_PORT = 32_000
-PORTS_FOR_EACH_PROCESS = 211
 POLL_S = 0.02
 
 
@@ -221,38 +215,6 @@
     wait_for(lambda: answers(url), timeout_s)
 
 
-def free_ports(count: int) -> tuple[int, ...]:
-    """Return ports of the loopback address that are free now.
-
-    They lie below the range from which the system takes the ports of
-    outgoing connections, and no call in this process gives one twice.
-    """
-    ports: list[int] = []
-    while len(ports) < count:
-        port = next(_PORTS)
-        if _is_free(port):
-            ports.append(port)
-    return tuple(ports)
-
-
-def _port_numbers() -> Iterator[int]:
-    span = LAST_PORT - FIRST_PORT
-    start = os.getpid() * PORTS_FOR_EACH_PROCESS % span
-    for offset in itertools.count(start):
-        yield FIRST_PORT + offset % span
-
-
-def _is_free(port: int) -> bool:
-    try:
-        socket.create_server(('127.0.0.1', port)).close()
-    except OSError:
-        return False
-    return True
-
-
-_PORTS = _port_numbers()
-
-
 def set_switches(address: str, **switches: Any) -> Any:
     """Set switches of a stand-in and return its records."""
     answer = urllib3.request(
--- a/tests/fakes/users_platform.py
+++ b/tests/fakes/users_platform.py
@@ -2,21 +2,16 @@
 
 import asyncio
 import contextlib
-import itertools
 import json
 import os
 import pathlib
-import socket
 import sys
 
 from tests.fakes.forwarding import read_answer
+from tests.fakes.ports import free_ports
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
 START_TIMEOUT_S = 30
-FIRST_PORT = 10_000
-PORT_RANGE_COUNT = 22
-PORTS_PER_RANGE = 1000
-_PORT_OFFSETS = itertools.count()
 TEMPLATE = """[instance]
 name = {name}
 data_center = z
@@ -46,20 +41,6 @@
 )
 
 
-def free_ports(count):
-    """Return ports that no outgoing connection takes before a listener."""
-    # They are below the ephemeral ports; workers of a test run use different
-    # ranges.
-    first = FIRST_PORT + os.getpid() % PORT_RANGE_COUNT * PORTS_PER_RANGE
-    ports = []
-    while len(ports) < count:
-        port = first + next(_PORT_OFFSETS) % PORTS_PER_RANGE
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind(('127.0.0.1', port))
-            ports.append(port)
-    return ports
-
-
 class Instance:
     """One instance in a process of its own."""
 
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -4,7 +4,7 @@
 
 import grpclib.server
 
-from tests.fakes import processes
+from tests.fakes.ports import free_ports
 from wigeonfall.adapters import peers
 from wigeonfall import clock
 from wigeonfall.model import instance
@@ -52,7 +52,7 @@
 
 
 def test_both_instances_merge_state_once_per_period() -> None:
-    merged = asyncio.run(_count_swaps(processes.free_ports(2)))
+    merged = asyncio.run(_count_swaps(free_ports(2)))
     periods = ROUNDS_S / exchange.PERIOD_S
     for count in merged.values():
         assert periods / 2 <= count <= periods + 2
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -9,6 +9,7 @@
 import typer.testing
 
 from .fakes import platform as fake_platform
+from .fakes.ports import free_ports
 from .fakes import processes
 from wigeonfall.adapters import configuration_store
 from wigeonfall.adapters import platform as platform_adapter
@@ -86,7 +87,7 @@
 
 
 def test_an_unreachable_platform_exits_with_3(files: list[str]) -> None:
-    (port,) = processes.free_ports(1)
+    (port,) = free_ports(1)
     address = f'127.0.0.1:{port}'
     assert _apply(files, address).exit_code == 3
     assert _run('status', f'--platform={address}').exit_code == 3
