--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -323,30 +323,30 @@
         self.version += 1
         self.store.objects.put('config', 'main', self.manifest())
         until_s = time.monotonic() + HEALED_S
-        for instance in self._instances:
-            for kind, *_ in ROUTES:
-                number = 0
-                status = 0
-                while status != 200 and time.monotonic() < until_s:
-                    number += 1
-                    name = f'{self.plan.seed}-healed-{instance.name}-{number}'
-                    caller = Caller(
-                        name, [instance], self.seen, random.Random(0)
-                    )
-                    status = await caller.call(
-                        f'{name}-{kind}', kind, instance
-                    )
-                if status != 200:
-                    self.seen.broken.append(
-                        f'{instance.name} serves no {kind} after the faults'
-                    )
-            while self.version not in self._versions(instance):
-                if time.monotonic() > until_s:
-                    self.seen.broken.append(
-                        f'{instance.name} has no version {self.version}'
-                    )
-                    break
-                await asyncio.sleep(0.1)
+        await asyncio.gather(
+            *(self._see_healed(i, until_s) for i in self._instances)
+        )
+
+    async def _see_healed(self, instance: Instance, until_s: float) -> None:
+        for kind, *_ in ROUTES:
+            number = 0
+            status = 0
+            while status != 200 and time.monotonic() < until_s:
+                number += 1
+                name = f'{self.plan.seed}-healed-{instance.name}-{number}'
+                caller = Caller(name, [instance], self.seen, random.Random(0))
+                status = await caller.call(f'{name}-{kind}', kind, instance)
+            if status != 200:
+                self.seen.broken.append(
+                    f'{instance.name} serves no {kind} after the faults'
+                )
+        while self.version not in self._versions(instance):
+            if time.monotonic() > until_s:
+                self.seen.broken.append(
+                    f'{instance.name} has no version {self.version}'
+                )
+                break
+            await asyncio.sleep(0.1)
 
     def _versions(self, instance: Instance) -> set[int]:
         """Return the versions of the table that an instance had in force."""
