Believe removals at an instance that the store turns away

Cause: an instance whose own watch fails takes the store to be down for all, and keeps targets whose entries are gone, as their leases may have lapsed. The arbiter was such an instance: it got the list without two targets from a peer at second 28.2 and went on placing the requests of all others there. Others, which do not watch the store, judge by whether a peer reaches it; so does one that is turned away now.

test_a_removal_holds_at_an_instance_that_the_store_turns_away failed before where peers reach the store, and holds the other way as it did.

--- a/tests/forwarding/test_removals.py
+++ b/tests/forwarding/test_removals.py
@@ -3,11 +3,18 @@
 import json
 import random
 
+import attrs
 import pytest
 
+from tests.fakes.arbitration import ignore
+from tests.fakes.forwarding import Harness
 from tests.fakes.object_store import make_store_view
 from tests.fakes.object_store import MemoryObjects
+from wigeonfall.forwarding.cluster_state import ClusterState
 from wigeonfall.forwarding import store_position
+from wigeonfall.model.target import Target
+from wigeonfall.policy.targets.load_balancer import LoadBalancer
+from wigeonfall.policy.versions.version_trial import Trials
 from wigeonfall.ports.objects import Change
 from wigeonfall.ports.objects import Changes
 from wigeonfall.ports.objects import Listing
@@ -190,3 +197,36 @@
         assert {o.name for o in member.view.objects(KIND)} == {
             o.name for o in store.port().list(KIND, False).ok_value.objects
         }
+
+
+@pytest.mark.parametrize('others_reach', [True, False])
+def test_a_removal_holds_at_an_instance_that_the_store_turns_away(
+    others_reach,
+):
+    """It kept the target as if the store were down, for all that it places."""
+    adapter = attrs.evolve(
+        Harness()._adapter(),
+        decode_target=lambda item: Target(
+            item.name, 's', 'dc', f'10.0.0.1:{item.name[1:]}'
+        ),
+    )
+    state = ClusterState(
+        adapter,
+        LoadBalancer('dc'),
+        Trials(),
+        ignore,
+        others_reach_store=lambda: others_reach,
+    )
+    before = tuple(
+        StoredObject('targets', name, 1, {}) for name in ('t1', 't2')
+    )
+    state.view.apply_listing('targets', Listing(before, 1, 1))
+    for _ in range(3):
+        state.set_store_reachable('targets', False)
+    # A peer that the store serves has seen the removal.
+    peer = make_store_view(('targets',))
+    peer.apply_listing('targets', Listing(before[:1], 5, 1))
+    assert state.view.apply_snapshot(peer.snapshot()) == ['targets']
+    kept = () if others_reach else ('t2',)
+    assert set(state.target_names['s']) == {'t1', *kept}
+    assert not state.store_reachable
--- a/wigeonfall/forwarding/cluster_state.py
+++ b/wigeonfall/forwarding/cluster_state.py
@@ -51,6 +51,7 @@
         record: records events.
         evacuates: whether operators evacuate data centres.
         cold_bound: returns the bound on requests to cold targets.
+        others_reach_store: returns whether a peer reaches the store.
 
     Attributes:
         view: the encoded objects of the store.
@@ -66,6 +67,7 @@
         record: Record,
         evacuates: bool = False,
         cold_bound: Callable[[], ColdSettings] = ColdSettings,
+        others_reach_store: Callable[[], bool] = lambda: False,
     ) -> None:
         kinds: tuple[str, ...] = (
             adapter.table_kind,
@@ -81,6 +83,7 @@
         self.target_names: dict[str, tuple[str, ...]] = {}
         self._adapter = adapter
         self._cold_bound = cold_bound
+        self._others_reach_store = others_reach_store
         self._balancer = balancer
         self._trials = trials
         self._record = record
@@ -131,10 +134,14 @@
         return target.data_center not in self._evacuation_log.evacuated
 
     def set_store_reachable(self, kind: str, reachable: bool) -> None:
-        """Set whether the store answers the watch of a kind."""
+        """Set whether the store answers the watch of a kind.
+
+        It may turn this instance away and serve targets and peers, whose
+        lists then say truly which targets are gone.
+        """
         self._reachable[kind] = reachable
         if kind == self._adapter.targets_kind:
-            self.set_targets_reachable(reachable)
+            self.set_targets_reachable(reachable or self._others_reach_store())
 
     def set_targets_reachable(self, reachable: bool) -> None:
         """Set whether targets can renew their entries in the store."""
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -81,6 +81,9 @@
             record,
             evacuates=settings.evacuation.stop_ms > 0,
             cold_bound=lambda: self._settings.cold,
+            others_reach_store=lambda: self._topology.peer_reaches_store(
+                time.monotonic()
+            ),
         )
         self._started_s = time.monotonic()
         self._quotas = token_quota.TokenQuotas(
