Judge moves that came early no longer than before

A move that has to come before the bound on exposure allows it is final from 0.6 of the duration on once old targets are idle, else at 0.8, as before. Others wait for the end.

--- a/tests/policy/test_version_trial.py
+++ b/tests/policy/test_version_trial.py
@@ -190,3 +190,16 @@
     answer(trials, 'v1', True, 300)
     trials.decide('s', True, 6.5)
     assert new_version_share(trials) == 1.0
+
+
+@pytest.mark.parametrize(('old_busy', 'due_s'), [(False, 7.2), (True, 9.6)])
+def test_an_early_move_is_not_judged_to_the_end(old_busy, due_s):
+    """The load changes meanwhile, for which a good version was blamed."""
+    trials = make_trials()
+    answer(trials, 'v2', True, 20)
+    for _ in range(300):
+        trials.add_evidence('s', 'v1', True, 0.1, 0.1, (), 8.0)
+    verdicts = {}
+    for step in range(120):
+        verdicts.setdefault(trials.decide('s', old_busy, step / 10), step / 10)
+    assert due_s <= verdicts[State.COMPLETED] <= due_s + 0.15
--- a/wigeonfall/policy/versions/move_time.py
+++ b/wigeonfall/policy/versions/move_time.py
@@ -13,6 +13,10 @@
 
 TRIAL_SHARE = 0.05  # half of the usual bound on exposure
 EARLIEST_SHARE = 0.5  # of the duration; requests move no earlier
+# Of the duration, for moves that came early so that old targets can finish:
+# the load changes until the end, and the versions are compared across it.
+EARLY_FINAL_SHARE = 0.6  # once old targets are idle
+EARLY_VERDICT_SHARE = 0.8
 MIN_MARGIN_S = 0.8  # to store the verdict in time, with one repetition
 MARGIN_SHARE = 0.04  # of the duration; an order may be seen late
 MAX_MARGIN_S = 3.0  # in which a version that turns bad cannot be taken back
@@ -81,23 +85,31 @@
     return duration_s - min(margin_s, duration_s / 2)
 
 
-def move_after_s(
-    duration_s: float,
-    requests_per_s: float,
-    old_durations: Durations,
-    bound: ExposureBound,
+def allowed_after_s(
+    duration_s: float, requests_per_s: float, bound: ExposureBound
 ) -> float:
-    """Return when all requests may move, from the arrival of an order on.
+    """Return from when on all requests keep within the bound on exposure.
 
     Args:
         duration_s: duration of the order.
         requests_per_s: requests of the service.
-        old_durations: how long requests took at the old targets.
         bound: bound on the exposure to a bad version.
     """
     spare = (bound.share - TRIAL_SHARE) * requests_per_s * duration_s
     spare = USED_PART * max(0.0, spare + bound.requests)
-    allowed_s = duration_s - spare / max(0.001, requests_per_s)
+    return duration_s - spare / max(0.001, requests_per_s)
+
+
+def move_after_s(
+    duration_s: float, allowed_s: float, old_durations: Durations
+) -> float:
+    """Return when all requests may move, from the arrival of an order on.
+
+    Args:
+        duration_s: duration of the order.
+        allowed_s: when they keep within the bound on exposure.
+        old_durations: how long requests took at the old targets.
+    """
     drain_s = SETTLE_S + old_durations.quantile_s(DRAINED_SHARE)
     drained_s = verdict_after_s(duration_s, False) - drain_s
     return max(EARLIEST_SHARE * duration_s, min(allowed_s, drained_s))
--- a/wigeonfall/policy/versions/version_failures.py
+++ b/wigeonfall/policy/versions/version_failures.py
@@ -26,6 +26,7 @@
 TOLERATED_EXCESS = 0.08
 MIN_BAD_ANSWERS = 4  # fewer may have one cause, such as a broken connection
 MIN_OLD_ANSWERS = 20
+MIN_NEW_ANSWERS = 12  # on each route, before the old targets may stop
 # The share of a sound version, as a beta distribution.
 _PRIOR_BAD = 0.5
 _PRIOR_GOOD = 4.5
@@ -163,6 +164,16 @@
     )
 
 
+def is_proven(parts: Parts) -> bool:
+    """Return whether the new version looks sound on each route in use."""
+    return all(
+        comparison.new.total >= MIN_NEW_ANSWERS
+        and comparison.log_evidence() <= 0
+        for part, comparison in parts.items()
+        if _is_main(part) and comparison.old.total >= MIN_OLD_ANSWERS
+    )
+
+
 def _is_worse(comparison: Comparison, limit: float) -> bool:
     return (
         comparison.new.bad >= MIN_BAD_ANSWERS
