Leave old targets their time when a move is not early

A move that began shortly before the bound on exposure allows it counted as early, and as four fifths of the duration had passed, its verdict came at once: old targets would have stopped with requests in progress. Moves after 0.6 of the duration wait for the end now, as they are timed to leave old targets until then.

--- a/wigeonfall/policy/versions/version_trial.py
+++ b/wigeonfall/policy/versions/version_trial.py
@@ -328,7 +328,15 @@
         )
 
     def _is_early(self, trial: Trial, now_s: float) -> bool:
-        return now_s - trial.seen_s < self._allowed_after_s(trial, now_s)
+        """Return whether to judge a move that begins now before the end.
+
+        A later one leaves old targets just the time until then.
+        """
+        latest_s = min(
+            self._allowed_after_s(trial, now_s),
+            move_time.EARLY_FINAL_SHARE * trial.order.duration_s,
+        )
+        return now_s - trial.seen_s < latest_s
 
     def _allowed_after_s(self, trial: Trial, now_s: float) -> float:
         order = trial.order
