Decode large tables in a thread beside the event loop

What a peer sends is read and decoded in a thread if it is long, and a table from the store in the thread of its watch. The event loop takes over the decoded index; it decodes by itself only what no thread has decoded before.

--- a/wigeonfall/forwarding/cluster_state.py
+++ b/wigeonfall/forwarding/cluster_state.py
@@ -94,6 +94,7 @@
         self._ready_by_s: float | None = None
         self._listed_targets: frozenset[Target] = frozenset()
         self._decoded: dict[str, dict[str, _Decoded]] = {}
+        self._decoded_table: _Decoded | None = None
         self._reachable = {kind: True for kind in kinds}
 
     @property
@@ -232,6 +233,19 @@
     def _targets_revision(self) -> int:
         return self.view.positions()[self._adapter.targets_kind].revision
 
+    def decode_ahead(self, objects: Iterable[StoredObject]) -> None:
+        """Decode a routing table before it is applied.
+
+        May be called in any thread: decoding a table of thousands of routes
+        in the event loop would hold up callers.
+
+        Args:
+            objects: objects of any kind that are applied next.
+        """
+        for item in objects:
+            if self._is_table(item):
+                self._decode_table(item)
+
     def _on_change(self, kind: str) -> bool:
         """Decode a changed kind; return whether peers need the change."""
         adapter = self._adapter
@@ -259,19 +273,25 @@
             )
         return True
 
+    def _is_table(self, item: StoredObject) -> bool:
+        return (
+            item.kind == self._adapter.table_kind
+            and item.name == self._adapter.table_name
+        )
+
     def _update_table(self) -> None:
-        for item in self.view.objects(self._adapter.table_kind):
-            if item.name != self._adapter.table_name:
-                continue
-            # The index is a part of reading it: keys may be of any type.
-            decoded = decoding.decode(self._make_index, item)
+        for item in filter(
+            self._is_table, self.view.objects(self._adapter.table_kind)
+        ):
+            decoded = self._decode_table(item)
             if isinstance(decoded, Err):
                 self._record_unreadable(item, decoded.err_value)
                 continue
             index = decoded.ok_value
-            if index is not None:
+            table = index.table
+            current = self.routing_index
+            if current is None or table.version > current.table.version:
                 self.routing_index = index
-                table = index.table
                 self._set_cold_terms(table.cold_services)
                 self._record(
                     Event.TABLE_IN_FORCE,
@@ -280,13 +300,22 @@
                     customers=len(table.customers),
                 )
 
-    def _make_index(self, item: StoredObject) -> routing.RoutingIndex | None:
-        """Return the index of a stored table, None if it is not newer."""
-        table = self._adapter.decode_table(item.value)
-        current = self.routing_index
-        if current is not None and table.version <= current.table.version:
-            return None
-        return routing.make_index(table)
+    def _decode_table(
+        self, item: StoredObject
+    ) -> Result[routing.RoutingIndex, str]:
+        """Return the index of a stored table, decoded once."""
+        known = self._decoded_table
+        if known is not None and known.item is item:
+            return known.result
+        # The index is a part of reading it: keys may be of any type.
+        result = decoding.decode(
+            lambda stored: routing.make_index(
+                self._adapter.decode_table(stored.value)
+            ),
+            item,
+        )
+        self._decoded_table = _Decoded(item, result)
+        return result
 
     def _decode_all(
         self, kind: str, decode: Callable[[StoredObject], _Value]
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -135,6 +135,7 @@
             store_reachable=lambda: self._cluster_state.store_reachable,
             fleet_size=self._peers.fleet_size,
             record=record,
+            decode_ahead=self._cluster_state.decode_ahead,
         )
         self._states = StateExchange(
             peers=self._peers,
--- a/wigeonfall/forwarding/internal_pages.py
+++ b/wigeonfall/forwarding/internal_pages.py
@@ -6,7 +6,7 @@
 import http
 import json
 import time
-from typing import Any, TypeAlias
+from typing import TypeAlias
 import zlib
 
 from .. import decoding
@@ -18,12 +18,15 @@
 from .exchange import ConnectionPool
 from .exchange import ExchangeError
 from .server_context import HandleCall
+from .snapshots import decode as decode_kinds
+from .snapshots import KindSnapshot
 from .store_view import StoreView
 
 SNAPSHOT_PATH = b'/snapshot'
 FETCH_TIMEOUT_S = 1.0  # without any byte; peers answer from memory
 MAX_FETCH_S = 30.0  # though bytes still arrive
 MAX_SNAPSHOT_BYTES = 16 << 20
+MIN_THREAD_BYTES = 2048  # compressed; decoding less takes about a millisecond
 DEFLATE = b'deflate'
 _COMPRESSION_LEVEL = 1  # fastest; takes most of the repeated names
 
@@ -126,17 +129,23 @@
     address: str,
     path: bytes,
     on_progress: Callable[[], None] = lambda: None,
-) -> dict[str, Any]:
+    on_decoded: Callable[[dict[str, KindSnapshot]], None] = lambda _kinds: (
+        None
+    ),
+) -> dict[str, KindSnapshot]:
     """Fetch a snapshot from a peer.
 
+    A large one is decoded in a thread, as it would hold up callers.
+
     Args:
         connections: HTTP connections to peers.
         address: "host:port" of the peer.
         path: path of the snapshot.
         on_progress: called when a part of it has arrived.
+        on_decoded: called with it, in that thread if there is one.
 
     Returns:
-        The snapshot, as JSON values.
+        The objects of the peer by kind.
 
     Raises:
         ExchangeError: the peer sent none that can be read.
@@ -170,12 +179,30 @@
         raise ExchangeError('peer timed out', sent=True) from error
     if head.status != http.HTTPStatus.OK:
         raise ExchangeError(f'status {head.status}', sent=True)
+    compressed = head.header(b'content-encoding') == DEFLATE
+
+    def decode() -> dict[str, KindSnapshot]:
+        kinds = _decode_snapshot(body or b'', compressed)
+        on_decoded(kinds)
+        return kinds
+
     try:
-        if head.header(b'content-encoding') == DEFLATE:
-            body = decoding.inflate(body or b'', MAX_SNAPSHOT_BYTES)
-        value = decoding.loads(body or b'')
+        if len(body or b'') < MIN_THREAD_BYTES:
+            return decode()
+        return await asyncio.to_thread(decode)
     except ValueError as error:
         raise ExchangeError(f'unreadable: {error}', sent=True) from error
+
+
+def _decode_snapshot(body: bytes, compressed: bool) -> dict[str, KindSnapshot]:
+    """Return the objects of a snapshot by kind.
+
+    Raises:
+        ValueError: it cannot be read.
+    """
+    if compressed:
+        body = decoding.inflate(body, MAX_SNAPSHOT_BYTES)
+    value = decoding.loads(body)
     if not isinstance(value, dict):
-        raise ExchangeError('snapshot is no JSON object', sent=True)
-    return value
+        raise ValueError('snapshot is no JSON object')
+    return decode_kinds(value)
--- a/wigeonfall/forwarding/snapshot_sync.py
+++ b/wigeonfall/forwarding/snapshot_sync.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 import time
 
 import attrs
@@ -13,6 +14,7 @@
 from ..events import Event
 from . import internal_pages
 from ..policy.view_lag import KindLag
+from ..ports.platform import StoredObject
 from ..recorder import Record
 from . import store_position
 from .exchange import ConnectionPool
@@ -39,6 +41,8 @@
         record: records events.
         lags: in which kinds others are ahead.
         listings_due: kinds to list from the store, as peers did not help.
+        decode_ahead: called with objects before they are applied, in any
+            thread.
     """
 
     peers: Peers
@@ -51,6 +55,9 @@
     record: Record
     lags: dict[str, KindLag] = attrs.field()
     listings_due: set[str] = attrs.field(factory=set)
+    decode_ahead: Callable[[Iterable[StoredObject]], None] = lambda _items: (
+        None
+    )
 
     @lags.default
     def _make_lags(self) -> dict[str, KindLag]:
@@ -213,13 +220,16 @@
         time.monotonic(),
     )
     try:
-        value = await internal_pages.fetch_snapshot(
+        snapshot = await internal_pages.fetch_snapshot(
             context.connections,
             state.address,
             internal_pages.snapshot_path(kind),
             lambda: lag.record_progress(time.monotonic()),
+            lambda kinds: context.decode_ahead(
+                item for part in kinds.values() for item in part.objects
+            ),
         )
-        kinds = context.view.apply_snapshot(value)
+        kinds = context.view.apply_kinds(snapshot)
         if kind in _kinds_ahead(context, state):
             raise ValueError(f'snapshot has not what was advertised of {kind}')
     except Exception as error:
--- a/wigeonfall/forwarding/store_threads.py
+++ b/wigeonfall/forwarding/store_threads.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from ..ports.objects import Changes
+from ..ports.objects import Listing
 from ..ports.objects import ObjectStore
 from ..recorder import Record
 from . import registration
@@ -72,13 +74,24 @@
     cluster_state = threads.cluster_state
     topology = threads.topology
     view = cluster_state.view
+    apply_listing = call_in_loop(view.apply_listing)
+    apply_changes = call_in_loop(view.apply_changes)
+
+    def on_listing(kind: str, listing: Listing) -> None:
+        cluster_state.decode_ahead(listing.objects)
+        apply_listing(kind, listing)
+
+    def on_changes(kind: str, changes: Changes) -> None:
+        cluster_state.decode_ahead(c.object for c in changes.changes)
+        apply_changes(kind, changes)
+
     for kind in view.kinds():
         store_watcher.start(
             store_watcher.StoreWatcher(
                 kind=kind,
                 get_store=threads.get_store,
-                on_listing=call_in_loop(view.apply_listing),
-                on_changes=call_in_loop(view.apply_changes),
+                on_listing=on_listing,
+                on_changes=on_changes,
                 on_reachable=call_in_loop(
                     functools.partial(cluster_state.set_store_reachable, kind)
                 ),
--- a/wigeonfall/forwarding/store_view.py
+++ b/wigeonfall/forwarding/store_view.py
@@ -312,9 +312,20 @@
         Raises:
             ValueError: the snapshot cannot be read; nothing has changed.
         """
+        return self.apply_kinds(snapshots.decode(value))
+
+    def apply_kinds(self, kinds: Mapping[str, KindSnapshot]) -> list[str]:
+        """Replace the kinds of which a peer has something newer.
+
+        Args:
+            kinds: objects of a peer by kind.
+
+        Returns:
+            The kinds that were replaced.
+        """
         replaced = [
             kind
-            for kind, snapshot in snapshots.decode(value).items()
+            for kind, snapshot in kinds.items()
             if kind in self._kinds and self._apply_peer_kind(kind, snapshot)
         ]
         for kind in replaced:
