Let the time for a change decide when another way to it is tried

A change could wait far longer than it may take to be in force: a fetch that got a byte now and then lasted up to 30 s, held up all later changes of its kind and kept the store from being asked for 10 s; listings were spread over one second for a hundred instances whatever the store allows. These were constants that knew nothing of the bound.

The bound and the store's rate of reads are settings now, filled in from the platform's (apply_ms, store_reads_per_s). A second peer is asked beside a fetch that has taken a sixth of the bound, the next ones after twice as long each, and the first that succeeds ends the others; the store is asked after a third of the bound without progress, or half of it with. Doubling keeps a narrow link from being divided among ever more fetches.

The test of waiting for a fetch that arrives names the bound in place of 10 s and checks both sides of it; the others use the names of the new terms.

--- a/tests/forwarding/test_snapshot_sync.py
+++ b/tests/forwarding/test_snapshot_sync.py
@@ -176,15 +176,17 @@
 
 
 async def slow_link(stack, address, bytes_per_step):
-    """Return an address from which bytes arrive slowly."""
+    """Return an address from which bytes arrive slowly, or none at 0."""
     host, _, port = address.rpartition(':')
 
     async def relay(reader, writer):
         there, back = await asyncio.open_connection(host, int(port))
         back.write(await reader.readuntil(b'\r\n\r\n'))
-        while data := await there.read(bytes_per_step):
+        while bytes_per_step and (data := await there.read(bytes_per_step)):
             writer.write(data)
             await asyncio.sleep(0.1)
+        if not bytes_per_step:
+            await asyncio.sleep(60)
         writer.close()
 
     server = await asyncio.start_server(relay, '127.0.0.1', 0)
@@ -315,6 +317,28 @@
     assert not [n for n, _ in follower.events if n == 'MESSAGE_UNREADABLE']
 
 
+@pytest.mark.parametrize('pace', [0, 20])
+def test_a_change_does_not_wait_for_a_peer_that_sends_little(pace):
+    """Later changes waited up to 30 s for the end of a fetch under way."""
+    names = {f'{n * 7919 % 100003:x}': n for n in range(3000)}
+
+    async def scenario(follower, stack):
+        await follower.add_peer(stack, 'a', pace=pace)
+        await follower.follow(stack)
+        async with asyncio.timeout(CAUGHT_UP_S):
+            while ('a', b'/snapshot/big') not in follower.asked:
+                await asyncio.sleep(0.01)
+        before_s = time.monotonic()
+        await follower.add_peer(stack, 'b')
+        await follower.wait_for('big')
+        assert time.monotonic() - before_s < 1.5  # half of the time allowed
+        # The other fetch has ended, so that the link is free.
+        assert not follower.context.lags['big'].fetching
+
+    follower = follow(scenario, big=names)
+    assert not [n for n, _ in follower.events if n == 'MESSAGE_UNREADABLE']
+
+
 @pytest.mark.parametrize('asks', [False, True])
 def test_snapshots_are_compressed_for_peers_that_ask_for_it(asks):
     """Earlier releases do not."""
--- a/tests/policy/test_view_lag.py
+++ b/tests/policy/test_view_lag.py
@@ -4,8 +4,12 @@
 
 from wigeonfall.policy import view_lag
 from wigeonfall.policy.view_lag import KindLag
+from wigeonfall.policy.view_lag import LagTerms
 
 PEERS = {name: name for name in ('a', 'b', 'c')}
+TERMS = LagTerms()
+STORE_CALLS_PER_S = 100  # a quarter of the default rate of reads
+STEP_S = 0.1
 
 
 def far(_peer):
@@ -52,7 +56,7 @@
     for name in ('b', 'c'):
         lag.record_failed(name, PEERS, 'x', 1.0)
     assert not lag.may_fetch(1.0 + view_lag.FETCH_PAUSE_S, 0.1)
-    assert lag.may_fetch(1.0 + view_lag.MAX_FETCH_PAUSE_S, 0.1)
+    assert lag.may_fetch(1.0 + TERMS.max_fetch_pause_s, 0.1)
 
 
 @pytest.mark.parametrize('fleet_size', [18, 100, 500])
@@ -67,26 +71,85 @@
                 asked_s.append(now_s)
                 lag.record_listed(fleet_size, None, now_s)
     firsts = asked_s[:fleet_size]
-    spread_s = fleet_size / view_lag.STORE_CALLS_PER_S
-    assert min(firsts) >= view_lag.STORE_AFTER_S
-    assert max(firsts) <= 2 * (view_lag.STORE_AFTER_S + spread_s) + 0.2
+    spread_s = fleet_size / STORE_CALLS_PER_S
+    assert min(firsts) >= TERMS.store_after_s
+    assert max(firsts) <= 2 * (TERMS.store_after_s + spread_s) + 0.2
     # What does not help is asked for less and less often.
     assert len(asked_s) < 8 * fleet_size
     for start in range(60):
         calls = sum(start <= at_s < start + 1 for at_s in asked_s)
-        assert calls <= 2 * view_lag.STORE_CALLS_PER_S
+        assert calls <= 2 * STORE_CALLS_PER_S
 
 
-def test_a_fetch_that_still_arrives_is_waited_for():
+@pytest.mark.parametrize('apply_s', [2.0, 3.0, 20.0])
+def test_a_fetch_that_still_arrives_is_waited_for(apply_s):
     """A narrow link would carry the listing of the store as well."""
+    terms = LagTerms(apply_s)
     lag = make_lag()
-    for step in range(95):
-        now_s = step * 0.1
+    steps = round(apply_s / 2 / STEP_S)
+    for step in range(steps - 1):
+        now_s = step * STEP_S
         lag.record_progress(now_s)
-        assert not lag.needs_store(1, now_s)
-    for step in range(95, 150):
-        lag.record_progress(step * 0.1)
-    assert any(lag.needs_store(1, 15.0 + n) for n in range(3))
+        assert not lag.needs_store(1, now_s, terms)
+    # A byte now and then would keep a change from being in force in time.
+    asked = False
+    for step in range(steps, steps + 2):
+        lag.record_progress(step * STEP_S)
+        asked = asked or lag.needs_store(1, step * STEP_S, terms)
+    assert asked
+
+
+def test_a_peer_that_takes_long_does_not_keep_others_from_being_asked():
+    """One that sent a byte now and then was waited for half a minute."""
+    terms = LagTerms(3.0)
+    peers = {f'p{n}': n for n in range(20)}
+    lag = make_lag()
+    asked_s = []
+    for step in range(300):
+        now_s = step * STEP_S
+        lag.record_progress(now_s)
+        if lag.may_fetch(now_s, STEP_S, terms):
+            peer = lag.choose(peers, far, now_s, terms)
+            lag.record_fetching(f'p{peer}', now_s)
+            asked_s.append(now_s)
+    assert len(lag.fetching) == len(asked_s)  # none was asked twice
+    # The next one when the first has taken twice as long as before.
+    waits_s = [round(s - asked_s[0], 1) for s in asked_s]
+    assert waits_s[:5] == [0.0, 0.5, 1.0, 2.0, 4.0]
+    assert len(asked_s) == 7
+
+
+def test_nobody_is_asked_twice_at_the_same_time():
+    lag = make_lag()
+    for number in range(3):
+        name = lag.choose(PEERS, far, 0.0)
+        lag.record_fetching(name, 0.0)
+        assert len(lag.fetching) == number + 1
+    assert lag.choose(PEERS, far, 0.0) is None
+    lag.record_ended('b')
+    assert lag.choose(PEERS, far, 0.0) == 'b'
+
+
+@pytest.mark.parametrize('fleet_size', [9, 18, 84, 114, 195, 500])
+@pytest.mark.parametrize('apply_s', [2.0, 3.0])
+@pytest.mark.parametrize('trickles', [False, True])
+def test_the_store_is_asked_in_time_where_no_peer_helps(
+    fleet_size, apply_s, trickles
+):
+    """Bounds were constants, and added up to more than the setting."""
+    terms = LagTerms(apply_s, 6000.0)
+    latest_s = 0.0
+    for _ in range(200):
+        lag = make_lag()
+        for step in range(200):
+            now_s = step * STEP_S
+            if trickles:
+                lag.record_progress(now_s)
+            if lag.needs_store(fleet_size, now_s, terms):
+                latest_s = max(latest_s, now_s)
+                break
+    # A quarter of the time is left to list the objects and decode them.
+    assert latest_s <= 0.75 * apply_s
 
 
 def test_a_lag_is_reported_with_its_start_and_its_end():
--- a/wigeonfall/forwarding/instance.py
+++ b/wigeonfall/forwarding/instance.py
@@ -135,6 +135,7 @@
             store_reachable=lambda: self._cluster_state.store_reachable,
             fleet_size=self._peers.fleet_size,
             record=record,
+            terms=lambda: self._settings.changes.terms,
             decode_ahead=self._cluster_state.decode_ahead,
         )
         self._states = StateExchange(
@@ -351,11 +352,10 @@
         )
 
     def _slot_client_context(self) -> slot_client.SlotClientContext:
-        settings = self._settings
         return slot_client.SlotClientContext(
-            name=settings.instance.name,
+            name=self._settings.instance.name,
             incarnation=self._states.incarnation,
-            address=settings.listen.peers_address,
+            address=self._settings.listen.peers_address,
             scheduler=self._scheduler,
             observations=self._observations,
             ineligible=lambda service, pending: {
--- a/wigeonfall/forwarding/settings.py
+++ b/wigeonfall/forwarding/settings.py
@@ -16,6 +16,7 @@
 from ..policy.room.terms import RoomTerms
 from ..policy.room import token_quota
 from ..policy.versions.move_time import ExposureBound
+from ..policy.view_lag import LagTerms
 from ..settings import InstanceSettings
 from ..settings import LogSettings
 from ..settings import PlatformSettings
@@ -141,6 +142,24 @@
     stop_ms: float = 0.0
 
 
+@attrs.frozen
+class ChangesSettings:
+    """How soon changes of the store must be in force at all instances.
+
+    Attributes:
+        apply_ms: time from the change on.
+        store_reads_per_s: reads that the store answers all instances.
+    """
+
+    apply_ms: float = LagTerms().apply_s * 1000
+    store_reads_per_s: float = LagTerms().store_reads_per_s
+
+    @property
+    def terms(self) -> LagTerms:
+        """The terms of following the store."""
+        return LagTerms(self.apply_ms / 1000, self.store_reads_per_s)
+
+
 @attrs.frozen
 class RolloutSettings:
     """Bound on the requests that reach a new version which is bad.
@@ -196,6 +215,7 @@
     evacuation: EvacuationSettings = EvacuationSettings()
     shares: SharesSettings = SharesSettings()
     rollout: RolloutSettings = RolloutSettings()
+    changes: ChangesSettings = ChangesSettings()
 
     @property
     def seed_addresses(self) -> tuple[str, ...]:
@@ -226,6 +246,8 @@
     'window_s': ini.in_range(0.1, 86_400),
     'overage': ini.in_range(0, 100),
     'slack_tokens': ini.in_range(0, 1_000_000_000),
+    'apply_ms': ini.in_range(100, 86_400_000),
+    'store_reads_per_s': ini.in_range(1, 1_000_000_000),
     'stop_ms': ini.in_range(0, 86_400_000),
     'floor': ini.in_range(0, 1),
     'booked': ini.in_range(0, 1),
--- a/wigeonfall/forwarding/snapshot_sync.py
+++ b/wigeonfall/forwarding/snapshot_sync.py
@@ -8,12 +8,14 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import time
+from typing import TypeAlias
 
 import attrs
 
 from ..events import Event
 from . import internal_pages
 from ..policy.view_lag import KindLag
+from ..policy.view_lag import LagTerms
 from ..ports.platform import StoredObject
 from ..recorder import Record
 from . import store_position
@@ -25,6 +27,8 @@
 WATCH_LAG_S = 0.4  # a working watch delivers a change before this time
 CHECK_INTERVAL_S = 0.1
 
+_Fetches: TypeAlias = dict[str, asyncio.Task[None]]  # by name of the peer
+
 
 @attrs.frozen
 class SnapshotSyncContext:
@@ -41,6 +45,7 @@
         record: records events.
         lags: in which kinds others are ahead.
         listings_due: kinds to list from the store, as peers did not help.
+        terms: returns how soon changes must be in force.
         decode_ahead: called with objects before they are applied, in any
             thread.
     """
@@ -55,6 +60,7 @@
     record: Record
     lags: dict[str, KindLag] = attrs.field()
     listings_due: set[str] = attrs.field(factory=set)
+    terms: Callable[[], LagTerms] = LagTerms
     decode_ahead: Callable[[Iterable[StoredObject]], None] = lambda _items: (
         None
     )
@@ -66,35 +72,68 @@
 
 async def run(context: SnapshotSyncContext) -> None:
     """Follow what peers know of the store, until cancelled."""
-    fetches: dict[str, asyncio.Task[None]] = {}
+    fetches: dict[str, _Fetches] = {kind: {} for kind in context.lags}
     try:
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             now_s = time.monotonic()
             ahead = _ahead_by_kind(context, now_s)
-            positions = context.view.positions()
-            for kind, lag in context.lags.items():
-                ended_s = lag.set_ahead(
-                    bool(ahead[kind]), positions[kind], now_s
-                )
-                _report(context, kind, ended_s, len(ahead[kind]), now_s)
-                watches = context.watches_store()
-                if not watches and lag.needs_store(
-                    context.fleet_size(now_s), now_s
-                ):
-                    context.listings_due.add(kind)
-                else:
-                    context.listings_due.discard(kind)
-                if kind in fetches and not fetches[kind].done():
-                    continue
-                grace_s = WATCH_LAG_S if watches else CHECK_INTERVAL_S
-                if ahead[kind] and lag.may_fetch(now_s, grace_s):
-                    fetches[kind] = asyncio.create_task(
-                        _fetch(context, kind, ahead[kind])
-                    )
+            for kind in context.lags:
+                _follow_kind(context, kind, ahead[kind], fetches[kind], now_s)
     finally:
-        for task in fetches.values():
-            task.cancel()
+        for kind, tasks in fetches.items():
+            _cancel(context.lags[kind], tasks)
+
+
+def _follow_kind(
+    context: SnapshotSyncContext,
+    kind: str,
+    ahead: dict[str, PeerState],
+    fetches: _Fetches,
+    now_s: float,
+) -> None:
+    """Ask a peer or the store for a kind, where it is time to.
+
+    Args:
+        context: the synchronisation.
+        kind: name of the kind.
+        ahead: the peers that are ahead in it, by name.
+        fetches: what is under way.
+        now_s: present time on the monotonic clock.
+    """
+    lag = context.lags[kind]
+    terms = context.terms()
+    position = context.view.positions()[kind]
+    ended_s = lag.set_ahead(bool(ahead), position, now_s)
+    _report(context, kind, ended_s, len(ahead), now_s)
+    watches = context.watches_store()
+    fleet_size = context.fleet_size(now_s)
+    if not watches and lag.needs_store(fleet_size, now_s, terms):
+        context.listings_due.add(kind)
+    else:
+        context.listings_due.discard(kind)
+    grace_s = WATCH_LAG_S if watches else CHECK_INTERVAL_S
+    if not (ahead and lag.may_fetch(now_s, grace_s, terms)):
+        return
+    state = lag.choose(
+        ahead,
+        lambda peer: peer.data_center == context.data_center,
+        now_s,
+        terms,
+    )
+    if state is not None:
+        lag.record_fetching(state.name, now_s)
+        fetches[state.name] = asyncio.create_task(
+            _fetch(context, kind, state, ahead, fetches)
+        )
+
+
+def _cancel(lag: KindLag, fetches: _Fetches) -> None:
+    """End all fetches of a kind."""
+    for name, task in fetches.items():
+        task.cancel()
+        lag.record_ended(name)
+    fetches.clear()
 
 
 def record_listed(
@@ -109,7 +148,9 @@
     """
     now_s = time.monotonic()
     context.listings_due.discard(kind)
-    context.lags[kind].record_listed(context.fleet_size(now_s), error, now_s)
+    context.lags[kind].record_listed(
+        context.fleet_size(now_s), error, now_s, context.terms()
+    )
 
 
 def _report(
@@ -210,15 +251,22 @@
 
 
 async def _fetch(
-    context: SnapshotSyncContext, kind: str, ahead: dict[str, PeerState]
+    context: SnapshotSyncContext,
+    kind: str,
+    state: PeerState,
+    ahead: dict[str, PeerState],
+    fetches: _Fetches,
 ) -> None:
-    """Fetch a kind from one of the peers that are ahead in it."""
+    """Fetch a kind from a peer, and end all other fetches if that succeeds.
+
+    Args:
+        context: the synchronisation.
+        kind: name of the kind.
+        state: state of the peer.
+        ahead: the peers that are ahead, by name.
+        fetches: what is under way.
+    """
     lag = context.lags[kind]
-    state = lag.choose(
-        ahead,
-        lambda peer: peer.data_center == context.data_center,
-        time.monotonic(),
-    )
     try:
         snapshot = await internal_pages.fetch_snapshot(
             context.connections,
@@ -234,14 +282,19 @@
             raise ValueError(f'snapshot has not what was advertised of {kind}')
     except Exception as error:
         # Whatever it is, another peer or the store may still help.
-        lag.record_failed(state.name, ahead, repr(error), time.monotonic())
-        context.record(
-            Event.MESSAGE_UNREADABLE,
-            peer=state.name,
-            kind=kind,
-            detail=repr(error),
-        )
+        _record_failed(context, kind, state.name, ahead, repr(error))
         return
+    finally:
+        # One that was ended may have been begun again.
+        if fetches.get(state.name) is asyncio.current_task():
+            del fetches[state.name]
+            lag.record_ended(state.name)
+    # Peers that were overtaken are slow, or have an older state.
+    for name in fetches:
+        lag.record_failed(
+            name, ahead, 'overtaken', time.monotonic(), context.terms()
+        )
+    _cancel(lag, fetches)
     lag.record_fetched(time.monotonic())
     if kinds:
         context.record(
@@ -250,3 +303,18 @@
             kinds=kinds,
             revisions=store_position.encode(context.view.positions()),
         )
+
+
+def _record_failed(
+    context: SnapshotSyncContext,
+    kind: str,
+    name: str,
+    ahead: dict[str, PeerState],
+    error: str,
+) -> None:
+    context.lags[kind].record_failed(
+        name, ahead, error, time.monotonic(), context.terms()
+    )
+    context.record(
+        Event.MESSAGE_UNREADABLE, peer=name, kind=kind, detail=error
+    )
