Move to a new version before many answers where the bound allows it

The least number of answers guards a final move. Before that, a version that turns out to be bad is held by the bound on exposure, and where requests are few that bound leaves room long before the answers have come. So requests move from then on once there is any good answer, and the verdict asks for the twelve.

--- a/tests/policy/test_version_trial.py
+++ b/tests/policy/test_version_trial.py
@@ -225,3 +225,40 @@
             due_s = now_s
     assert moved_s is not None
     assert due_s - moved_s >= lasted_s
+
+
+@pytest.mark.parametrize('bad_from_s', [0.0, 3.0, 6.0, 8.0, 10.0, 11.0])
+@pytest.mark.parametrize('per_s', [2, 5, 10, 20])
+def test_a_move_with_few_answers_keeps_within_the_bound(per_s, bad_from_s):
+    """Where requests are few, it does not wait for many answers."""
+    trials = make_trials()
+    bound = ExposureBound()
+    exposed = 0
+    for number in range(int(12 * per_s)):
+        now_s = number / per_s
+        new = trials.allows('s', 'v2', f'id-{number}')
+        exposed += new
+        ok = not new or now_s < bad_from_s
+        version = 'v2' if new else 'v1'
+        trials.add_evidence('s', version, ok, 0.1, 0.1, (), 2.0)
+        trials.decide('s', False, now_s)
+    assert exposed <= bound.share * 12 * per_s + bound.requests
+
+
+@pytest.mark.parametrize('answers', [0, 1, 8])
+def test_a_move_is_final_only_after_enough_answers(answers):
+    trials = make_trials()
+    answer(trials, 'v1', True, 50)
+    answer(trials, 'v2', True, answers)
+    assert trials.decide('s', False, 10.9) is None
+    assert (new_version_share(trials) == 1.0) == (answers > 0)
+    assert trials.decide('s', False, DUE_S) is State.ROLLED_BACK
+
+
+def test_a_move_that_began_with_few_answers_is_final_after_more():
+    trials = make_trials()
+    answer(trials, 'v1', True, 50)
+    answer(trials, 'v2', True, 8)
+    assert trials.decide('s', False, 10.9) is None
+    answer(trials, 'v2', True, version_trial.MIN_ANSWERS - 8)
+    assert trials.decide('s', False, DUE_S) is State.COMPLETED
--- a/wigeonfall/policy/versions/version_trial.py
+++ b/wigeonfall/policy/versions/version_trial.py
@@ -34,7 +34,7 @@
 from .version_failures import Parts
 from .version_pace import Times
 
-MIN_ANSWERS = 12  # needed for a move
+MIN_ANSWERS = 12  # needed for a final move
 BAD_FACTOR = 2.5  # times the old version's share of bad answers
 BAD_EXCESS = 0.08  # added to it
 MIN_SLOW_S = 0.1  # shorter times do not count as slow
@@ -286,7 +286,7 @@
         doubtful = failing or version_pace.is_doubtful(*times[''])
         if (
             not trial.moving
-            and enough
+            and (enough or self._may_move_unproven(trial, good, now_s))
             and not doubtful
             and self._may_move(trial, now_s)
         ):
@@ -294,7 +294,7 @@
             trial.moved_early = self._is_early(trial, now_s)
             self.evidence.count(order.service, order.version, _MOVING)
         if self._is_due(trial, parts, old_busy, now_s):
-            completed = trial.moving and not failing
+            completed = trial.moving and enough and not failing
             trial.verdict = State.COMPLETED if completed else State.ROLLED_BACK
 
     def _is_due(
@@ -327,6 +327,18 @@
             trial.order
         )
 
+    def _may_move_unproven(
+        self, trial: Trial, good: int, now_s: float
+    ) -> bool:
+        """Return whether requests may move before there are many answers.
+
+        Where requests are few, waiting for answers would leave old targets no
+        time to finish theirs. A version that turns out to be bad keeps within
+        the bound on exposure then, and is final only once enough have come.
+        """
+        elapsed_s = now_s - trial.seen_s
+        return good > 0 and elapsed_s >= self._allowed_after_s(trial, now_s)
+
     def _is_early(self, trial: Trial, now_s: float) -> bool:
         """Return whether to judge a move that begins now before the end.
 
