Wait for a busy peer instead of asking it anew

When many instances fetch a large table from a few hubs, each waits for its turn. After a second without a byte a fetch was given up and begun anew, so that hubs had ever more to send: in a trial of 84 processes whose links were carried by one overloaded process, 741 fetches timed out within six seconds, and instances were up to 15 s behind.

Silence ends a fetch after three seconds now, as other peers are asked beside it long before that, at growing intervals. A peer that fails at once is left at once, as before.

test_a_busy_peer_is_not_asked_again_and_again failed before (what a peer answers after 1.6 s had not arrived within 5 s) and passes.

--- a/tests/forwarding/test_snapshot_sync.py
+++ b/tests/forwarding/test_snapshot_sync.py
@@ -119,7 +119,7 @@
     def record(self, event, **fields):
         self.events.append((event.name, fields))
 
-    async def add_peer(self, stack, name, pages=None, pace=None):
+    async def add_peer(self, stack, name, pages=None, pace=None, wait_s=0.0):
         """Start a peer that is ahead in all kinds.
 
         Args:
@@ -127,6 +127,7 @@
             name: name of the peer.
             pages: pages in place of its own.
             pace: bytes it sends in 0.1 s, None for no limit.
+            wait_s: time until it answers.
         """
         view = make_store_view(KINDS)
         for kind, value in self.objects.items():
@@ -139,6 +140,7 @@
 
         async def answer(call, reply):
             self.asked.append((name, call.path))
+            await asyncio.sleep(wait_s)
             await handle(call, reply)
 
         context = ServerContext(answer, CallerLimits, lambda: False)
@@ -339,6 +341,19 @@
     assert not [n for n, _ in follower.events if n == 'MESSAGE_UNREADABLE']
 
 
+def test_a_busy_peer_is_not_asked_again_and_again():
+    """All instances did, so that it had ever more to send."""
+
+    async def scenario(follower, stack):
+        await follower.add_peer(stack, 'a', wait_s=1.6)
+        await follower.follow(stack)
+        await follower.wait_for('big')
+
+    follower = follow(scenario, big={'v': 1})
+    asked = [path for _, path in follower.asked]
+    assert asked.count(b'/snapshot/big') == 1
+
+
 @pytest.mark.parametrize('asks', [False, True])
 def test_snapshots_are_compressed_for_peers_that_ask_for_it(asks):
     """Earlier releases do not."""
--- a/wigeonfall/forwarding/internal_pages.py
+++ b/wigeonfall/forwarding/internal_pages.py
@@ -23,7 +23,9 @@
 from .store_view import StoreView
 
 SNAPSHOT_PATH = b'/snapshot'
-FETCH_TIMEOUT_S = 1.0  # without any byte; peers answer from memory
+# Without any byte. Peers answer from memory, but to many at the same time; who
+# asks anew makes that worse.
+FETCH_TIMEOUT_S = 3.0
 MAX_FETCH_S = 30.0  # though bytes still arrive
 MAX_SNAPSHOT_BYTES = 16 << 20
 MIN_THREAD_BYTES = 2048  # compressed; decoding less takes about a millisecond
