Add a soak of large tables over narrow links

No test changed a table of thousands of routes in series while links were narrow, peers stalled and hubs were killed or frozen, with the promise taken from what callers see. In this lane the table grows up to the largest value of the store and shrinks, routes and keys are taken away, and each instance must act on each change 3 s after it was confirmed.

--- a/tests/fakes/tcp_proxy.py
+++ b/tests/fakes/tcp_proxy.py
@@ -2,11 +2,14 @@
 
 import contextlib
 import enum
+import random
 import socket
 import threading
 import time
 
 READ_SIZE_BYTES = 65536
+NARROW_READ_BYTES = 8192
+REPEAT_S = (0.2, 0.6)  # until a lost packet has been sent again
 
 
 class _State(enum.Enum):
@@ -19,19 +22,28 @@
 class TcpProxy:
     """Forwards TCP connections to one address.
 
+    Args:
+        to_address: "host:port" to forward to.
+        listen_port: port to listen on, 0 for any that is free.
+
     Attributes:
         address: "host:port" to connect to.
     """
 
-    def __init__(self, to_address: str) -> None:
+    def __init__(self, to_address: str, listen_port: int = 0) -> None:
         host, _, port = to_address.rpartition(':')
         self._target = (host, int(port))
         self._state = _State.OPEN
         self._delay_s = 0.0
+        self._lost_share = 0.0
+        self._bytes_per_s = 0.0
+        self._idle_from_s = 0.0
         self._changed = threading.Condition()
         self._sockets: set[socket.socket] = set()
         self._stalled_sockets: set[socket.socket] = set()
-        self._listener = socket.create_server(('127.0.0.1', 0), backlog=512)
+        self._listener = socket.create_server(
+            ('127.0.0.1', listen_port), backlog=512
+        )
         self.address = '127.0.0.1:%d' % self._listener.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -52,14 +64,25 @@
         """Forward all data after a delay, until restored."""
         self._delay_s = delay_s
 
+    def lose(self, share: float) -> None:
+        """Forward a share of the data late, until restored."""
+        self._lost_share = share
+
+    def narrow(self, bytes_per_s: float) -> None:
+        """Forward so many bytes a second, of all connections together."""
+        self._bytes_per_s = bytes_per_s
+
     def stall_open_connections(self) -> None:
         """Forward nothing more on open connections; new ones work."""
         with self._changed:
             self._stalled_sockets |= self._sockets
 
     def restore(self) -> None:
-        """Forward all data again, including what was held back."""
-        self._delay_s = 0.0
+        """Forward all data again, including what was held back.
+
+        A narrow link stays so.
+        """
+        self._delay_s = self._lost_share = 0.0
         self._set(_State.OPEN)
 
     def close(self) -> None:
@@ -115,8 +138,9 @@
         self, source: socket.socket, sink: socket.socket, is_response: bool
     ) -> None:
         with contextlib.suppress(OSError):
-            while data := source.recv(READ_SIZE_BYTES):
-                time.sleep(self._delay_s)
+            size = NARROW_READ_BYTES if self._bytes_per_s else READ_SIZE_BYTES
+            while data := source.recv(size):
+                time.sleep(self._delay_s + self._queue_s(len(data)))
                 self._wait_while_stalled(is_response)
                 if source in self._stalled_sockets:
                     continue
@@ -136,6 +160,19 @@
             source.close()
             sink.close()
 
+    def _queue_s(self, size: int) -> float:
+        """Return how long data of a size wait for the link."""
+        wait_s = 0.0
+        if random.random() < self._lost_share:
+            wait_s = random.uniform(*REPEAT_S)
+        if self._bytes_per_s:
+            with self._changed:
+                now_s = time.monotonic()
+                begin_s = max(now_s, self._idle_from_s)
+                self._idle_from_s = begin_s + size / self._bytes_per_s
+                wait_s += self._idle_from_s - now_s
+        return wait_s
+
     def _wait_while_stalled(self, is_response: bool = False) -> None:
         stalled = (
             {_State.STALLED, _State.RESPONSES_STALLED}
--- a/tests/fakes/users_platform.py
+++ b/tests/fakes/users_platform.py
@@ -14,7 +14,7 @@
 START_TIMEOUT_S = 30
 TEMPLATE = """[instance]
 name = {name}
-data_center = z
+data_center = {data_center}
 [listen]
 callers_address = 127.0.0.1:{callers}
 ready_address = 127.0.0.1:{ready}
@@ -47,6 +47,7 @@
     def __init__(self, directory, store, name='i1', seeds='127.0.0.1:1'):
         names = ('callers', 'ready', 'peers', 'metrics')
         self.name = name
+        self.data_center = 'z'
         self.peers_host = '127.0.0.1'
         self.ports = dict(zip(names, free_ports(4), strict=True))
         self.store = store
@@ -54,6 +55,7 @@
         self.path = directory / f'{name}.ini'
         self.log = directory / f'{name}.log'
         self.output = None  # file for its output, instead of the log
+        self.process = None
         self.machine = {'memory_mb': 150, 'descriptors': 4096}
         self.more = ''  # further sections of the settings
         self.write_settings()
@@ -61,6 +63,7 @@
     def write_settings(self, ratio=0.2):
         text = TEMPLATE.format(
             name=self.name,
+            data_center=self.data_center,
             peers_host=self.peers_host,
             store=self.store.address,
             seeds=self.seeds,
