Bound the exponents of pauses that double with each failure

An instance whose watch of a kind failed a thousand times in a row, as in an outage of the store of some ten minutes, never followed that kind again: min(most, first * 2**failures) raises OverflowError from 1,024 failures on, which ended the only thread that watches the kind.

The same expression gave the pauses after fetches, listings, broken connections of targets and orders to them, and the length of a quarantine, whose number peers tell: 2 ** (2**53) took all memory. All six take their pause from policy/backoff.py now, which bounds the exponent.

--- a/tests/forwarding/test_store_watcher.py
+++ b/tests/forwarding/test_store_watcher.py
@@ -41,6 +41,24 @@
         raise AssertionError(self.view.objects('k'))
 
 
+def test_changes_arrive_after_thousands_of_failures(monkeypatch):
+    """The thread ended when the store was away for over ten minutes."""
+    monkeypatch.setattr(store_watcher, 'RETRY_MIN_S', 0.00001)
+    monkeypatch.setattr(store_watcher, 'RETRY_MAX_S', 0.00002)
+    watch = _Watch()
+    try:
+        watch.wait_for(set())
+        watch.store.away = True
+        until_s = time.monotonic() + 30
+        while watch.store.calls < 3000 and time.monotonic() < until_s:
+            time.sleep(0.01)
+        watch.store.put('k', 'a', {})
+        watch.store.away = False
+        watch.wait_for({'a'})
+    finally:
+        watch.stopping.set()
+
+
 def test_changes_arrive_after_outages_and_compacted_history():
     watch = _Watch()
     try:
--- a/tests/policy/test_view_lag.py
+++ b/tests/policy/test_view_lag.py
@@ -59,6 +59,18 @@
     assert lag.may_fetch(1.0 + TERMS.max_fetch_pause_s, 0.1)
 
 
+def test_pauses_stay_bounded_however_often_nothing_helps():
+    """A number too large ended each fetch after 25 minutes of failures."""
+    lag = make_lag()
+    for number in range(3000):
+        lag.record_failed('a', ('a',), 'x', float(number))
+        assert lag.next_fetch_s - number <= TERMS.max_fetch_pause_s
+        lag.record_listed(9, 'x', float(number))
+        assert lag.store_from_s - number <= (
+            TERMS.store_after_s + view_lag.MAX_STORE_PAUSE_S
+        )
+
+
 @pytest.mark.parametrize('fleet_size', [18, 100, 500])
 def test_instances_that_peers_do_not_help_ask_the_store_spread_out(fleet_size):
     """They asked peers for ever, though the store was in reach."""
--- a/wigeonfall/forwarding/store_watcher.py
+++ b/wigeonfall/forwarding/store_watcher.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from ..events import Event
+from ..policy.backoff import doubled_s
 from ..ports.objects import Changes
 from ..ports.objects import Listing
 from ..ports.objects import ObjectStore
@@ -106,7 +107,7 @@
         failures += 1
         if failures >= OUTAGE_FAILURE_COUNT:
             watcher.on_reachable(False)
-        max_delay_s = min(RETRY_MAX_S, RETRY_MIN_S * 2**failures)
+        max_delay_s = doubled_s(RETRY_MIN_S, failures, RETRY_MAX_S)
         watcher.stopping.wait(max_delay_s * (0.5 + random.random() / 2))
 
 
--- a/wigeonfall/policy/targets/load_balancer.py
+++ b/wigeonfall/policy/targets/load_balancer.py
@@ -15,6 +15,7 @@
 from collections.abc import Iterator
 
 from ...model.target import Target
+from ..backoff import doubled_s
 from .cold_targets import ColdTargets
 from .kept_parts import holds_nothing
 from .moving_average import PeerAverage
@@ -231,7 +232,9 @@
             return 0.0
         self.record_failure(name)
         self.cold.suspect(name, 'connection', now_s)
-        pause_s = min(MAX_BACKOFF_S, BACKOFF_S * 2**stats.connection_failures)
+        pause_s = doubled_s(
+            BACKOFF_S, stats.connection_failures, MAX_BACKOFF_S
+        )
         stats.connection_failures += 1
         stats.backoff_until_s = now_s + pause_s
         return pause_s
--- a/wigeonfall/policy/targets/quarantine.py
+++ b/wigeonfall/policy/targets/quarantine.py
@@ -20,6 +20,8 @@
 import attrs
 import xxhash
 
+from ..backoff import doubled_s
+
 TARGETS_LOST = 3  # with requests that share a part, before it is quarantined
 SETTLE_S = 1.0  # for peers to tell that they know of an answer
 # A crash ends an answer that has just begun; one that lasted is proof.
@@ -124,7 +126,7 @@
 
     @property
     def length_s(self) -> float:
-        return min(MAX_QUARANTINE_S, QUARANTINE_S * 2 ** (self.number - 1))
+        return doubled_s(QUARANTINE_S, self.number - 1, MAX_QUARANTINE_S)
 
     @property
     def end_s(self) -> float:
--- a/wigeonfall/policy/view_lag.py
+++ b/wigeonfall/policy/view_lag.py
@@ -17,6 +17,8 @@
 
 import attrs
 
+from .backoff import doubled_s
+
 FETCH_PAUSE_S = 0.2  # between two fetches, as changes come in series
 STORE_CALLS_SHARE = 0.25  # of the rate of reads that the store allows
 MAX_STORE_PAUSE_S = 30.0  # while listings do not help
@@ -233,8 +235,8 @@
         self.failed_s[name] = now_s
         pause_s = FETCH_PAUSE_S
         if not self._sound(ahead, now_s, terms):
-            pause_s = min(
-                terms.max_fetch_pause_s, math.ldexp(pause_s, self.failures)
+            pause_s = doubled_s(
+                pause_s, self.failures, terms.max_fetch_pause_s
             )
         self.next_fetch_s = now_s + pause_s
 
@@ -285,7 +287,7 @@
 
     def _store_pause_s(self, fleet_size: int, terms: LagTerms) -> float:
         spread_s = random.uniform(0.0, terms.store_spread_s(fleet_size))
-        waited_s = 2.0**self.listings - 1.0
+        waited_s = doubled_s(1.0, self.listings, MAX_STORE_PAUSE_S) - 1
         return min(MAX_STORE_PAUSE_S, spread_s + waited_s)
 
     def is_due_report(self, now_s: float) -> bool:
--- a/wigeonfall/serving/target_orders.py
+++ b/wigeonfall/serving/target_orders.py
@@ -20,6 +20,7 @@
 from ..events import Event
 from ..model import http_status
 from ..model.target import Target
+from ..policy.backoff import doubled_s
 from ..ports.targets import Attempt
 from ..ports.targets import AttemptFailed
 from ..ports.targets import Targets
@@ -210,7 +211,7 @@
         if result is SendResult.RATE_LIMITED:
             self._parallel_limit = max(1, self._parallel_limit // 2)
         backoff = self._backoffs.setdefault(name, _Backoff())
-        wait_s = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2**backoff.failures)
+        wait_s = doubled_s(MIN_BACKOFF_S, backoff.failures, MAX_BACKOFF_S)
         backoff.failures += 1
         backoff.until_s = self._monotonic() + wait_s * _jitter(name, backoff)
 
