--- a/review/deployment_3.py
+++ b/review/deployment_3.py
@@ -39,7 +39,12 @@
     'ExposeSlack': 50,
 }
 PLATFORM = {'WritesPerS': 400, 'ReadsPerS': 2000}
-LIMITS = {'CpuShare': 0.537, 'CpuCores': 2, 'MemoryMb': 300, 'MaxFds': 4100}
+LIMITS: dict[str, Any] = {
+    'CpuShare': 0.537,
+    'CpuCores': 2,
+    'MemoryMb': 300,
+    'MaxFds': 4100,
+}
 
 
 class Record:
@@ -86,7 +91,9 @@
         assert self.process is not None
         self.process.send_signal(number)
 
-    def fields(self, seeds: list[str], store_address: str) -> dict[str, Any]:
+    def fields(
+        self, seeds: list[str], store_address: str, memory_mb: int
+    ) -> dict[str, Any]:
         """Return the fields that the platform fills a template with."""
         return {
             'NodeName': self.name,
@@ -101,7 +108,7 @@
             'Seeds': seeds,
             'Platform': {'Address': store_address, **PLATFORM},
             'Bounds': BOUNDS,
-            'Limits': LIMITS,
+            'Limits': {**LIMITS, 'MemoryMb': memory_mb},
         }
 
 
@@ -112,11 +119,17 @@
         count: number of instances.
         store: the store.
         store_address: where instances reach it, if not at its own address.
+        memory_mb: memory of each machine.
     """
 
     def __init__(
-        self, count: int, store: Store, store_address: str = ''
+        self,
+        count: int,
+        store: Store,
+        store_address: str = '',
+        memory_mb: int = LIMITS['MemoryMb'],
     ) -> None:
+        self._memory_mb = memory_mb
         self._store_address = store_address or store.address
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='wigeonfall-'))
         ports = _free_ports(5)
@@ -155,7 +168,10 @@
         seeds = [other.control for other in self.instances[:3]]
         path = self.folder / f'{instance.name}.ini'
         path.write_text(
-            render(template, instance.fields(seeds, self._store_address)),
+            render(
+                template,
+                instance.fields(seeds, self._store_address, self._memory_mb),
+            ),
             'utf-8',
         )
         names = ('PATH', 'HOME', 'LANG')
